--- a/balance/api.go
+++ b/balance/api.go
@@ -118,6 +118,16 @@
 // Prices are taken off the result, each per unit of its own.
 type Prices struct{ CrossZone, Waste, Handshake, Probe, Peer, LateFail float64 }
 
+// Stats tells, for logs, how many requests ended unserved and why, and how the balancer sees the load.
+type Stats struct {
+	Late, Shed         int // not admitted: later tries past their aim, load beyond the fleet's
+	Spent              int // given up after their attempts
+	Unsent             int // given up without any attempt
+	Steady, Over       float64
+	Quickest, Pressure float64 // times of answers as a part of their aim
+	Resting            int     // servers
+}
+
 // State is what discovery knows of a server.
 type State uint8
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -103,9 +103,14 @@
 	b.steady = bound(b.steady+shedRate*hurry*over, 0, maxShed)
 	shed := bound(b.steady+shedNow*over, 0, math.Min(maxShed, 2*b.steady)) // not by chance alone
 	if b.late(r) && b.steady >= r.class.LateWorth {
+		b.stats.Late++
 		return false
 	}
-	return shed == 0 || b.random() >= b.shedPart(r, shed)
+	if shed > 0 && b.random() < b.shedPart(r, shed) {
+		b.stats.Shed++
+		return false
+	}
+	return true
 }
 
 // late: a client's later try whose aim has passed already, as the time left tells: first tries have more.
@@ -218,6 +223,11 @@
 	}
 	b.markOverdue(r)
 	if b.now >= r.deadline || r.live == 0 && b.hopeless(r) {
+		if len(r.tries) > 0 {
+			b.stats.Spent++
+		} else {
+			b.stats.Unsent++
+		}
 		b.answer(r)
 		return
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -43,6 +43,7 @@
 	asked, answers            meter
 	pressure                  float64 // the same of the last few
 	spare                     float64 // repeats left in the budget
+	stats                     Stats   // its counts
 }
 
 // meter counts requests or answers. It holds decayed counts of the last few of the longest aims and of
@@ -270,6 +271,18 @@
 	return b.out, err
 }
 
+// Stats returns the counts since New and the present view of the load.
+func (b *Balancer) Stats() Stats {
+	s := b.stats
+	s.Steady, s.Over, s.Quickest, s.Pressure = b.steady, b.over, b.quickest, b.pressure
+	for _, server := range b.servers {
+		if b.resting(server) {
+			s.Resting++
+		}
+	}
+	return s
+}
+
 func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // random is splitmix64 from the seed.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -39,6 +39,7 @@
 	generation uint64
 	stopWatch  context.CancelFunc
 	later      []func() // outcomes that an action had at once
+	counts     counts
 }
 
 // request is a client's request until it is answered and its last attempt has ended.
@@ -99,6 +100,8 @@
 	l.list(l.profile.Known, balance.ListCached)
 	tick := time.NewTimer(0)
 	defer tick.Stop()
+	status := time.NewTicker(statusEvery)
+	defer status.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -106,6 +109,8 @@
 		case f := <-l.events:
 			f()
 		case <-tick.C:
+		case <-status.C:
+			l.logStatus()
 		}
 		l.fire()
 		wait := time.Hour
@@ -186,6 +191,7 @@
 		deadline: in.arrived + in.remaining - math.Min(answerMargin, in.remaining/10), answer: out,
 	}
 	l.requests[r.id], l.traces[r.trace] = r, true
+	l.counts.requests++
 	err := l.tell(balance.Request{
 		ID: r.id, Class: in.class, Tenant: in.tenant, WorkHint: in.hint, Key: in.key,
 		Remaining: math.Max(r.deadline-l.clock.Now(), 1e-3), Repeat: in.repeat,
@@ -201,6 +207,7 @@
 func (l *Loop) finish(id balance.RequestID, a answer) {
 	if r := l.requests[id]; r != nil && !r.closed {
 		r.closed = true
+		l.counts.answers[a.kind]++
 		r.answer <- a
 		l.removeIfOver(r)
 	}
@@ -212,6 +219,7 @@
 		return
 	}
 	r.closed = true
+	l.counts.hangUps++
 	l.tell(balance.HangUp{Request: r.id})
 	l.removeIfOver(r)
 }
@@ -275,9 +283,11 @@
 	at.clean = rep.result.NeverRan()
 	if rep.result == balance.OK && !r.closed {
 		r.closed = true
+		l.counts.answers[balance.OK]++
 		r.answer <- answer{kind: balance.OK, reply: rep}
 	}
 	took := l.clock.Now() - at.sent
+	l.counts.outcomes[rep.result]++
 	if rep.result != balance.OK && rep.result != balance.Cancelled {
 		name := ""
 		if at.to != nil {
--- /dev/null
+++ b/internal/sidecar/status.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"barleytack/balance"
+)
+
+// statusEvery is how often a busy sidecar logs what it did.
+const statusEvery = 5 * time.Second
+
+// counts is what the loop has seen since the start.
+type counts struct {
+	requests, hangUps int
+	answers           [balance.Moot + 1]int // by kind
+	outcomes          [balance.Moot + 1]int // of attempts, by result
+}
+
+// logStatus writes one line with all counts since the start and the module's view of the load: what is refused is
+// told with its reason, and the difference of two lines is what happened between them.
+func (l *Loop) logStatus() {
+	if l.counts.requests == 0 {
+		return
+	}
+	b, c := l.b.Stats(), &l.counts
+	open, dials, reuses := l.up.tally()
+	var outcomes []any
+	for result, n := range c.outcomes {
+		if n > 0 {
+			outcomes = append(outcomes, slog.Int(balance.Result(result).String(), n))
+		}
+	}
+	l.log.Info("status",
+		"requests", c.requests, "open", len(l.requests),
+		slog.Group("answers", "served", c.answers[balance.OK], "refused", c.answers[balance.Full],
+			"failed", c.answers[balance.Failed], "hangups", c.hangUps),
+		slog.Group("unserved", "late", b.Late, "shed", b.Shed, "spent", b.Spent, "unsent", b.Unsent),
+		slog.Group("attempts", outcomes...),
+		slog.Group("load", "steady", b.Steady, "over", b.Over, "quickest", b.Quickest, "pressure", b.Pressure),
+		slog.Group("servers", "known", len(l.servers), "resting", b.Resting),
+		slog.Group("conns", "open", open, "dials", dials, "reuses", reuses))
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -42,6 +42,8 @@
 	mu   sync.Mutex
 	open int
 	all  map[*endpoint]struct{} // with idle connections
+
+	dials, reuses int // since the start
 }
 
 // endpoint is one server as the I/O goroutines see it.
@@ -52,6 +54,13 @@
 	idle     []*conn // newest last
 }
 
+// tally counts the open connections, and those dialled and taken again since the start.
+func (u *upstream) tally() (open, dials, reuses int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open, u.dials, u.reuses
+}
+
 // conn is a connection with its reader goroutine, which also notices a close by the peer while idle.
 type conn struct {
 	net.Conn
@@ -190,9 +199,11 @@
 		e.idle = e.idle[:n-1]
 		c.x = x
 		c.SetReadDeadline(time.Time{})
+		u.reuses++
 		u.mu.Unlock()
 		return c, nil
 	}
+	u.dials++
 	addr := e.addr
 	var spare *conn
 	if u.open >= u.most { // room is made by the connection that was idle the longest
