Answer 400 and close where Content-Length stands beside Transfer-Encoding

Excluded: the servers' side (what goes out is encoded anew with one length; the connections that carried them had answered in order).

The head of the present request is now kept as it came (headConn), since net/http gives no other way to see both fields. A chunked request on HTTP/1.0 is refused too. Chunks alone are served as before.

--- /dev/null
+++ b/internal/sidecar/framing.go
@@ -0,0 +1,99 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// headConn keeps the head of the present request as it came. net/http follows Transfer-Encoding where
+// Content-Length stands beside it and hides the latter, though the two may disagree where the request ends: what
+// one side takes for its body is the next request to the other.
+type headConn struct {
+	net.Conn
+	mu    sync.Mutex // the server reads in the background while a handler runs
+	head  []byte
+	whole bool
+}
+
+func (c *headConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.whole && len(c.head) <= maxHead {
+		from := max(0, len(c.head)-3) // its end may come in parts
+		c.head = append(c.head, p[:n]...)
+		if i := headEnd(c.head[from:]); i >= 0 {
+			c.head, c.whole = c.head[:from+i], true
+		}
+	}
+	return n, err
+}
+
+// headEnd is the place just behind the empty line that ends a head; -1: there is none.
+func headEnd(raw []byte) int {
+	for i, b := range raw {
+		rest := raw[i+1:]
+		if b == '\n' && (bytes.HasPrefix(rest, []byte("\n")) || bytes.HasPrefix(rest, []byte("\r\n"))) {
+			return i + 1 + bytes.IndexByte(rest, '\n') + 1
+		}
+	}
+	return -1
+}
+
+// next forgets the head of a request that is over.
+func (c *headConn) next() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.whole = c.head[:0], false
+}
+
+// fields tells the names of the header fields of the present request, in lower case; ok: its head was seen.
+func (c *headConn) fields(req *http.Request) (names map[string]bool, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	line, rest, _ := strings.Cut(string(c.head), "\n")
+	want := req.Method + " " + req.RequestURI + " " + req.Proto
+	line = strings.TrimSuffix(line, "\r")
+	// The first byte may have been read while the request before was being answered.
+	if !c.whole || !strings.HasSuffix(want, line) || len(line) < len(want)-1 {
+		return nil, false
+	}
+	names = map[string]bool{}
+	for line := range strings.Lines(rest) {
+		name, _, _ := strings.Cut(line, ":")
+		names[strings.ToLower(strings.TrimSpace(name))] = true
+	}
+	return names, true
+}
+
+type headKey struct{}
+
+// withHead and forgetHead tie a connection's head to the requests on it.
+func withHead(ctx context.Context, c net.Conn) context.Context {
+	if p, ok := c.(*place); ok {
+		return context.WithValue(ctx, headKey{}, &p.headConn)
+	}
+	return ctx
+}
+
+func forgetHead(c net.Conn, state http.ConnState) {
+	if p, ok := c.(*place); ok && state == http.StateIdle {
+		p.next()
+	}
+}
+
+// ambiguous: the two ends could disagree where this request ends. A chunked one must come with its head seen, as
+// clients do not send a request before the one ahead of it is answered; HTTP/1.0 knows no chunks.
+func ambiguous(req *http.Request) bool {
+	c, ok := req.Context().Value(headKey{}).(*headConn)
+	chunked, old := len(req.TransferEncoding) > 0, !req.ProtoAtLeast(1, 1)
+	if !ok || !chunked && !old {
+		return false
+	}
+	names, seen := c.fields(req)
+	return chunked && (!seen || names["content-length"]) || old && names["transfer-encoding"]
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -26,6 +26,7 @@
 	// lingering: after SIGTERM new connections come for up to 0.4 s.
 	lingering  = 600 * time.Millisecond
 	headerTime = 10 * time.Second
+	maxHead    = 32 << 10
 )
 
 // Half of the descriptors that are left serve clients, the other half servers.
@@ -69,7 +70,8 @@
 	}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: 2 * time.Minute, WriteTimeout: headerTime + s.longest,
-		MaxHeaderBytes: 32 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnContext: withHead, ConnState: forgetHead,
 	}
 	return s
 }
@@ -107,6 +109,11 @@
 		}
 		return
 	}
+	if ambiguous(req) {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "ambiguous length", http.StatusBadRequest)
+		return
+	}
 	in, status, err := s.parse(w, req)
 	if err != nil {
 		if req.ContentLength != 0 { // else the answer would wait for a body that may never come
@@ -250,7 +257,7 @@
 		}
 		select {
 		case b.places <- struct{}{}:
-			return &place{Conn: c, free: sync.OnceFunc(func() { <-b.places })}, nil
+			return &place{headConn: headConn{Conn: c}, free: sync.OnceFunc(func() { <-b.places })}, nil
 		default:
 		}
 		b.away <- struct{}{}
@@ -262,7 +269,7 @@
 }
 
 type place struct {
-	net.Conn
+	headConn
 	free func()
 }
 
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -78,6 +78,65 @@
 	}
 }
 
+// Where two lengths disagree, the body of one request could be taken for another: neither may reach a server, in
+// whatever parts they come, and the connection is of no further use.
+func TestARequestWithTwoLengths(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	r := withServers(t, p.addr)
+	inner := once("inner")
+	head := "X-Trace-Id: outer\r\nX-Qos: once\r\nX-Expires-In: 9000m\r\n"
+	both := fmt.Sprintf("cOnTent-length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", len(inner)+5)
+	for name, parts := range map[string][]string{
+		"at once":        {"POST /once HTTP/1.1\r\nHost: app.svc\r\n" + head + both + inner},
+		"in parts":       {"POST /once HTTP/1.1\r\nHost: app.svc\r\n" + head, both[:len(both)-7], both[len(both)-7:] + inner},
+		"bare newlines":  {strings.ReplaceAll("POST /once HTTP/1.1\r\nHost: app.svc\r\n"+head, "\r", "") + both + inner},
+		"an old version": {"POST /once HTTP/1.0\r\nConnection: keep-alive\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n" + inner},
+		"pipelined":      {look("first") + "POST /once HTTP/1.1\r\nHost: app.svc\r\n" + head + both + inner},
+		"kept alive":     {look("first"), "POST /once HTTP/1.1\r\nHost: app.svc\r\n" + head + both + inner},
+	} {
+		before := p.requests.Load()
+		c, in := r.open()
+		for _, part := range parts {
+			io.WriteString(c, part)
+			if part == look("first") {
+				r.answer(in)
+				before++
+			}
+		}
+		if name == "pipelined" {
+			r.answer(in)
+			before++
+		}
+		if resp, _ := r.answer(in); resp.StatusCode != 400 || !resp.Close {
+			t.Errorf("%s: %d, close %v", name, resp.StatusCode, resp.Close)
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: the connection goes on: %v", name, err)
+		}
+		if n := p.requests.Load() - before; n != 0 {
+			t.Errorf("%s: %d requests went on", name, n)
+		}
+	}
+}
+
+// Chunks alone are a proper length, on a new connection and on a kept one.
+func TestAChunkedRequest(t *testing.T) {
+	bodies := make(chan string, 2)
+	p := newPeer(t, func(c net.Conn, _ *http.Request, body string) bool {
+		bodies <- body
+		io.WriteString(c, okAnswer)
+		return true
+	})
+	r := withServers(t, p.addr)
+	c, in := r.open()
+	for _, trace := range []string{"a", "b"} {
+		io.WriteString(c, strings.Replace(once(trace), "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 1))
+		if resp, _ := r.answer(in); resp.StatusCode != 200 || wait(t, bodies) != "hi" {
+			t.Fatalf("%s: status %d", trace, resp.StatusCode)
+		}
+	}
+}
+
 // A second request of the same id must not start a second copy.
 func TestARepeatedID(t *testing.T) {
 	got, release := make(chan struct{}, 1), make(chan struct{})
