Take only marked tries for later ones: a long later try made first tries look late

Balancer.late (balance/balance.go) takes a request for a later try past its aim where its time left is under 0.99 of the longest seen in its class, on the ground that first tries have the most. They do not: first tries wait 344 ms of 670 here, and a client that was turned away at once comes again with all that is left, 659 ms. From then on every first try of the class was refused at once, whatever the load, for the sidecar's life.

Only the safe classes suffered (next-pick, bin-lookup): the others are not tried again after a failure.

Where the settings say that clients mark their later tries, only marked ones can be late, and only unmarked ones tell how long first tries are. The settings' clients.marks_retry was not read at all; it is now.

--- a/balance/api.go
+++ b/balance/api.go
@@ -91,6 +91,7 @@
 	Reports   ReportVia // how load reports come
 	Fields    []Field   // what they hold, in order
 
+	MarksRepeats   bool // clients mark their later tries
 	MaxAttempts    int
 	Parallel       bool    // two attempts of a request may be in flight together
 	Cancel         bool    // attempts may be cancelled
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -113,9 +113,15 @@
 	return true
 }
 
-// late: a client's later try whose aim has passed already, as the time left tells: first tries have more.
+// late: a client's later try whose aim has passed already, as the time left tells: where first tries have
+// more, it is what is left of the deadline. Only first tries tell that: some later ones take all there is.
 func (b *Balancer) late(r *request) bool {
-	r.stats.longest = math.Max(r.stats.longest, r.Remaining)
+	if !b.cfg.MarksRepeats || !r.Repeat {
+		r.stats.longest = math.Max(r.stats.longest, r.Remaining)
+	}
+	if b.cfg.MarksRepeats && !r.Repeat {
+		return false
+	}
 	return r.Remaining < 0.99*r.stats.longest && r.Remaining <= r.class.Deadline-r.class.Aim
 }
 
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -376,6 +376,36 @@
 	}
 }
 
+// Where clients mark later tries, a first try is never late, and one later try that takes all the time left to its
+// client did not make the sidecar refuse all first tries after it.
+func TestALongLaterTry(t *testing.T) {
+	cfg := baseConfig()
+	cfg.MarksRepeats = true
+	g := newRig(t, cfg, fleet(4)...)
+	next := RequestID(0)
+	come := func(remaining float64, repeat bool) []Action {
+		next++
+		return g.do(Request{ID: next, Class: safeClass, Remaining: remaining, Repeat: repeat})
+	}
+	come(700, false)
+	come(1490, true)
+	for _, c := range []struct {
+		remaining float64
+		repeat    bool
+		refused   bool
+	}{
+		{700, false, false},
+		{650, false, false}, // it came late to us, not to its client
+		{700, true, false},  // perhaps at once after the first
+		{1300, true, false}, // 200 ms gone
+		{600, true, true},   // 900 ms gone
+	} {
+		if acts := come(c.remaining, c.repeat); has(acts, Refuse) != c.refused {
+			t.Errorf("%+v: %+v", c, acts)
+		}
+	}
+}
+
 // A server that leaves several attempts unanswered is rested, and used again after an answer.
 func TestStrikesRestAServer(t *testing.T) {
 	g := newRig(t, baseConfig(), fleet(3)...)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -39,6 +39,9 @@
 		Via    string   `json:"via"`
 		Fields []string `json:"fields"`
 	} `json:"report"`
+	Clients struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"clients"`
 	Limits struct {
 		Cancel         bool    `json:"cancel"`
 		ConnIdle       float64 `json:"conn_idle_ms"`
@@ -131,8 +134,8 @@
 		Parallel: s.Limits.Parallel, Cancel: s.Limits.Cancel, Probes: s.Limits.Probes,
 		Messages: s.Limits.MayTell, RetryAfter: s.Limits.RetryAfter,
 		MaxRetryAfter: s.Limits.MaxRetryAfter, ConnectTimeout: s.Limits.ConnectTimeout,
-		MaxAttempts: or(s.Limits.MaxAttempts, 1),
-		DrainGrace:  s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
+		MarksRepeats: s.Clients.MarksRetry, MaxAttempts: or(s.Limits.MaxAttempts, 1),
+		DrainGrace: s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
 		FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime,
 		AskWithin: s.Rules.AskWithin, AnswerSlack: s.Rules.AnswerSlack,
 		Goal:   balance.Goal(s.Goal),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -140,7 +140,7 @@
 	cfg, err := ParseSettings(9, []byte(`{"classes": [
 		{"effect": "read_like", "on_time_ms": 300, "hard_limit_ms": 1500, "worth": 2, "late_worth": 0.3},
 		{"effect": "idempotency_key", "group": "cell", "hard_limit_ms": 600, "window_ms": 700}],
-		"a_new_key": {"x": [1]}, "discovery": "subscribe", "my_number": 2, "peers_total": 5,
+		"a_new_key": {"x": [1]}, "discovery": "subscribe", "my_number": 2, "peers_total": 5, "clients": {"marks_retry": true},
 		"limits": {"parallel_tries": true, "probes": true, "max_attempts": 4},
 		"report": {"via": "pull", "fields": ["q", "new", "rif"]},
 		"rules": {"cold_from": 0.2, "cold_ms": 9000}, "result_mix": {"whole": 0.4, "worst_window": 0.3, "worst_class": 0.2, "worst_tenant": 0.1},
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	if cfg.Seed != 9 || !cfg.Subscribe || cfg.Number != 2 || cfg.Peers != 5 || !cfg.Parallel || !cfg.Probes ||
-		cfg.Cancel || cfg.MaxAttempts != 4 || cfg.ColdFrom != 0.2 || cfg.Tenants[0].Share != 0.4 {
+		!cfg.MarksRepeats || cfg.Cancel || cfg.MaxAttempts != 4 || cfg.ColdFrom != 0.2 || cfg.Tenants[0].Share != 0.4 {
 		t.Errorf("%+v", cfg)
 	}
 	if want := (balance.Goal{Whole: 0.4, WorstWindow: 0.3, WorstClass: 0.2, WorstTenant: 0.1}); cfg.Goal != want {
