Take SIGHUP for a new address of discovery instead of dying of it

Nothing in internal/sidecar could change the address either.

The file is read again at each SIGHUP; the loop calls the new address from then on and moves a standing watch there at once, as the old address ends its connections after 1.5 s and news counts as told after 4 s. A file that cannot be read is logged and changes nothing.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -28,11 +28,10 @@
 func run() error {
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer release()
-	raw, err := os.ReadFile(os.Getenv("LB_CONFIG"))
-	if err != nil {
-		return fmt.Errorf("LB_CONFIG: %w", err)
-	}
-	cfg, err := sidecar.ParseConfig(raw)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	cfg, err := readConfig()
 	if err != nil {
 		return err
 	}
@@ -49,6 +48,7 @@
 	alive, end := context.WithCancel(context.Background())
 	defer end()
 	go loop.Run(alive)
+	go reload(alive, hangup, loop, log)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	if err := sidecar.NewServer(loop, log).Serve(stop, ln); err != nil {
 		return err
@@ -56,3 +56,27 @@
 	log.Info("stopped")
 	return nil
 }
+
+func readConfig() (sidecar.Config, error) {
+	raw, err := os.ReadFile(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return sidecar.Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	return sidecar.ParseConfig(raw)
+}
+
+// reload reads the configuration again at each SIGHUP until ctx ends. What cannot be read changes nothing.
+func reload(ctx context.Context, hangup <-chan os.Signal, loop *sidecar.Loop, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		if cfg, err := readConfig(); err != nil {
+			log.Error("the new configuration is not taken", "err", err)
+		} else {
+			loop.Reload(&cfg)
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -169,8 +169,9 @@
 		case balance.Watch:
 			l.watch()
 		case balance.Fetch:
+			disc := l.disc
 			go func() {
-				c, err := l.disc.fetch(l.ctx)
+				c, err := disc.fetch(l.ctx)
 				l.post(func() { l.called(c, err) })
 			}()
 		case balance.Log:
@@ -338,9 +339,9 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	after := l.generation
+	after, disc := l.generation, l.disc
 	go func() {
-		err := l.disc.watch(ctx, after, func(c Catalog) {
+		err := disc.watch(ctx, after, func(c Catalog) {
 			l.post(func() {
 				if ctx.Err() == nil {
 					l.called(c, nil)
@@ -356,6 +357,18 @@
 	}()
 }
 
+// Reload takes in a new configuration. Only discovery's address can change in a running sidecar: a standing watch,
+// or one that is about to be asked for again, moves there at once, since the old address closes soon.
+func (l *Loop) Reload(c *Config) {
+	l.post(func() {
+		l.disc = newDiscovery(c.Discovery)
+		if l.stopWatch != nil {
+			l.watch()
+		}
+		l.log.Info("reloaded", "discovery", c.Discovery)
+	})
+}
+
 // called takes in what a call to discovery brought.
 func (l *Loop) called(c Catalog, err error) {
 	if err != nil {
