Forget answered requests where no probes are made: the waiting list grew for good

probeFor (balance/balance.go) puts every admitted request on Balancer.holding, and only the end of a probe lets go of it (stepHeld). Here a probe costs 0.05 a request, over probeSpend, so fan is 0, no probe is ever sent and each request is kept. Connections and descriptors are excluded: they stay level (117 to 131).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -188,6 +188,9 @@
 			b.emit(Action{Kind: Probe, Server: next.ID})
 		}
 	}
+	if len(r.probed) == 0 { // nothing to wait for, and no probe's end that would let go of it
+		return
+	}
 	r.holdUntil = b.now + probeAims*r.class.Aim
 	b.holding = append(b.holding, r)
 }
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -449,6 +449,29 @@
 	}
 }
 
+// Where probes cost too much to make any, every request was remembered as waiting for some, for good.
+func TestNothingIsKeptOfAnAnsweredRequest(t *testing.T) {
+	for _, price := range []float64{0.0001, 0.05} {
+		cfg := baseConfig()
+		cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
+		cfg.Prices.Probe = price
+		g := newRig(t, cfg, fleet(3)...)
+		for range 100 {
+			id, acts := g.ask(safeClass)
+			for _, a := range acts {
+				if a.Kind == Probe {
+					g.do(ProbeResult{Server: a.Server, Report: []float32{0}})
+				}
+			}
+			g.answer(id, 0, OK, 10)
+			g.now += 100
+		}
+		if len(g.b.reqs) != 0 || len(g.b.holding) != 0 {
+			t.Errorf("price %v: %d requests known and %d held after all were answered", price, len(g.b.reqs), len(g.b.holding))
+		}
+	}
+}
+
 // Probes cost: in quiet hours a few find an idle server, in busy ones all are asked.
 func TestProbesFollowHowBusyServersAre(t *testing.T) {
 	g := newRig(t, probeConfig(), fleet(12)...)
