Close peers that send nothing, or half a request, in under 3 s: they held all the places

The refusals were not the module's: it counted 41423, nearly all of them later tries, and far fewer first tries than came.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -26,6 +26,7 @@
 	events  chan func()
 	ended   chan struct{}
 	healthy atomic.Bool // requests can be served
+	clients atomic.Pointer[bounded]
 
 	// Owned by the loop's goroutine.
 	ctx        context.Context
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -111,7 +111,7 @@
 	ended    chan error
 }
 
-func newRig(t *testing.T, discovery, known string) *rig {
+func newRig(t *testing.T, discovery, known string, tune ...func(*Server)) *rig {
 	t.Helper()
 	cfg, err := ParseConfig([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s}`,
 		discovery, known, testSettings)))
@@ -129,6 +129,9 @@
 	r.stop = cancel
 	go r.loop.Run(alive)
 	server := NewServer(r.loop, log)
+	for _, f := range tune {
+		f(server)
+	}
 	server.after = func(d time.Duration) <-chan time.Time {
 		if d < 500*time.Millisecond { // new connections come for 0.4 s
 			t.Errorf("the listener stays open for %v", d)
@@ -142,11 +145,15 @@
 
 // withServers is a sidecar that knows these servers; discovery is down.
 func withServers(t *testing.T, addrs ...string) *rig {
+	return newRig(t, deadAddr(t), known(addrs...))
+}
+
+func known(addrs ...string) string {
 	var list []string
 	for i, addr := range addrs {
 		list = append(list, instance(fmt.Sprint("s-", i), addr, "up"))
 	}
-	return newRig(t, deadAddr(t), catalog(1, true, list...))
+	return catalog(1, true, list...)
 }
 
 // open connects to the sidecar as a client.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -24,8 +24,13 @@
 	turnedAway   = 16 // connections that are being turned away at once
 	turnAwayTime = 500 * time.Millisecond
 	// lingering: after SIGTERM new connections come for up to 0.4 s.
-	lingering  = 600 * time.Millisecond
-	headerTime = 10 * time.Second
+	lingering = 600 * time.Millisecond
+	// Anyone may connect, and a place that is held for nothing is lacking to a client. A connection without a request
+	// may be closed after 2 s, and whoever sends none, or half of one, must be rid of within 3 s.
+	headerTime = 2200 * time.Millisecond
+	bodyTime   = 600 * time.Millisecond
+	idleTime   = 2500 * time.Millisecond
+	writeTime  = 10 * time.Second // beyond the longest deadline
 	maxHead    = 32 << 10
 )
 
@@ -59,17 +64,18 @@
 	longest  time.Duration // the longest deadline
 	draining atomic.Bool
 	after    func(time.Duration) <-chan time.Time // time.After
+	bodyTime time.Duration
 }
 
 // NewServer makes a server; Serve runs it.
 func NewServer(l *Loop, log *slog.Logger) *Server {
-	s := &Server{loop: l, classes: map[string]int{}, after: time.After}
+	s := &Server{loop: l, classes: map[string]int{}, after: time.After, bodyTime: bodyTime}
 	for i, name := range l.profile.Profile.Classes {
 		s.classes[name] = i
 		s.longest = max(s.longest, duration(l.profile.Profile.Config.Classes[i].Deadline))
 	}
 	s.http = &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: 2 * time.Minute, WriteTimeout: headerTime + s.longest,
+		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, WriteTimeout: writeTime + s.longest,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: withHead, ConnState: forgetHead,
 	}
@@ -79,7 +85,9 @@
 // Serve serves until stop ends, then drains, and returns when all that was taken is answered.
 func (s *Server) Serve(stop context.Context, ln net.Listener) error {
 	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(newBounded(ln, s.loop.profile.Limits.inbound())) }()
+	clients := newBounded(ln, s.loop.profile.Limits.inbound())
+	s.loop.clients.Store(clients)
+	go func() { failed <- s.http.Serve(clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -103,6 +111,9 @@
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := s.loop.clock.Now()
+	if req.ContentLength != 0 { // what is left of a body is read after the answer too, also by net/http
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTime))
+	}
 	if req.URL.Path == healthPath {
 		if !s.loop.healthy.Load() || s.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -186,16 +197,14 @@
 		return in, http.StatusRequestEntityTooLarge, errors.New("body over 64 KiB")
 	}
 	if req.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(time.Now().Add(headerTime))
 		in.body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
-		control.SetReadDeadline(time.Time{})
 		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
 			return in, http.StatusRequestEntityTooLarge, err
 		}
 		if err != nil {
 			return in, http.StatusBadRequest, err
 		}
+		http.NewResponseController(w).SetReadDeadline(time.Time{}) // else it would pass for the client's going away
 	}
 	for _, name := range []string{"X-Trace-Id", "Idempotency-Key", "X-Qos", "X-Customer", "Content-Type"} {
 		if v := h.Get(name); v != "" {
@@ -243,10 +252,11 @@
 type bounded struct {
 	net.Listener
 	places, away chan struct{}
+	taken, over  atomic.Int64 // connections since the start: with a place, and one too many
 }
 
 func newBounded(ln net.Listener, most int) *bounded {
-	return &bounded{ln, make(chan struct{}, most), make(chan struct{}, turnedAway)}
+	return &bounded{Listener: ln, places: make(chan struct{}, most), away: make(chan struct{}, turnedAway)}
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -257,9 +267,11 @@
 		}
 		select {
 		case b.places <- struct{}{}:
+			b.taken.Add(1)
 			return &place{headConn: headConn{Conn: c}, free: sync.OnceFunc(func() { <-b.places })}, nil
 		default:
 		}
+		b.over.Add(1)
 		b.away <- struct{}{}
 		go func() {
 			turnAway(c)
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -175,6 +177,61 @@
 	})
 }
 
+// Whoever sends nothing, half a request or no further one is answered with an error or closed, soon enough for the
+// platform, and its place is free again.
+func TestPeersThatHoldAPlaceForNothing(t *testing.T) {
+	if headerTime < 2*time.Second || headerTime+bodyTime >= 3*time.Second || idleTime < 2*time.Second {
+		t.Errorf("%v, %v and %v", headerTime, bodyTime, idleTime)
+	}
+	p := newPeer(t, says(okAnswer))
+	r := newRig(t, deadAddr(t), known(p.addr), func(s *Server) {
+		s.http.ReadHeaderTimeout, s.http.IdleTimeout, s.bodyTime = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
+	})
+	body := strings.Replace(once("t"), "Content-Length: 0", "Content-Length: 5", 1)
+	for name, c := range map[string]struct {
+		sent     string
+		statuses []int
+	}{
+		"nothing":                     {"", nil},
+		"half a head":                 {"GET /look HTTP/1.1\r\nHost", nil},
+		"half a body":                 {body + "he", []int{400}},
+		"half a chunked body":         {strings.Replace(once("t"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "5\r\nhe", []int{400}},
+		"half a body, a wrong class":  {strings.Replace(body, "X-Qos: once", "X-Qos: odd", 1) + "he", []int{400}},
+		"half a body of two lengths":  {strings.Replace(body, "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1), []int{400}},
+		"nothing more":                {look("t"), []int{200}},
+		"half a body, for the health": {"GET /_health HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhe", []int{200}},
+	} {
+		conn, in := r.open()
+		io.WriteString(conn, c.sent)
+		for _, status := range c.statuses {
+			if resp, _ := r.answer(in); resp.StatusCode != status {
+				t.Errorf("%s: status %d, want %d", name, resp.StatusCode, status)
+			}
+		}
+		if rest, err := io.ReadAll(in); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: %q and %v, want an end", name, rest, err)
+		}
+	}
+	eventually(t, "all places are free", func() bool { return len(r.loop.clients.Load().places) == 0 })
+}
+
+// A request may take longer than its body may.
+func TestABodyInTimeAndASlowAnswer(t *testing.T) {
+	late := make(chan struct{})
+	p := newPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		<-late
+		io.WriteString(c, okAnswer)
+		return true
+	})
+	const bodyTime = 500 * time.Millisecond
+	r := newRig(t, deadAddr(t), known(p.addr), func(s *Server) { s.bodyTime = bodyTime })
+	time.AfterFunc(bodyTime+100*time.Millisecond, func() { close(late) })
+	resp, _ := r.ask(strings.Replace(once("t"), "Content-Length: 0\r\n\r\n", "Content-Length: 5\r\n\r\nhello", 1))
+	if resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // At the bound a connection gets a whole 503 at once; places come free again.
 func TestTooManyClients(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -31,6 +31,10 @@
 			outcomes = append(outcomes, slog.Int(balance.Result(result).String(), n))
 		}
 	}
+	clients := []any{}
+	if b := l.clients.Load(); b != nil {
+		clients = append(clients, "open", len(b.places), "taken", b.taken.Load(), "over", b.over.Load())
+	}
 	l.log.Info("status",
 		"requests", c.requests, "open", len(l.requests),
 		slog.Group("answers", "served", c.answers[balance.OK], "refused", c.answers[balance.Full],
@@ -39,5 +43,6 @@
 		slog.Group("attempts", outcomes...),
 		slog.Group("load", "steady", b.Steady, "over", b.Over, "quickest", b.Quickest, "pressure", b.Pressure),
 		slog.Group("servers", "known", len(l.servers), "resting", b.Resting, "cold", b.Cold),
-		slog.Group("conns", "open", open, "dials", dials, "reuses", reuses))
+		slog.Group("conns", "open", open, "dials", dials, "reuses", reuses),
+		slog.Group("clients", clients...))
 }
