Leave clients' connections all descriptors that servers' connections cannot use

Limits.inbound (internal/sidecar/server.go) gave each side half. A request needs one connection to a server at a time and clients use a third of the descriptors for requests, so servers' side gets that third and a few for probes, and clients' side the rest: 115 and 93 of 256, 200 and 136 of 384. The reserve is 48, of which 16 are for turning away.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -20,7 +20,8 @@
 
 const (
 	healthPath   = "/_health"
-	reserved     = 64 // descriptors kept for discovery, the listener, the runtime and turning clients away
+	reserved     = 48 // descriptors kept for discovery, the listener, the runtime and turning clients away
+	probing      = 8  // connections to servers beside those of requests
 	turnedAway   = 16 // connections that are being turned away at once
 	turnAwayTime = 500 * time.Millisecond
 	// lingering: after SIGTERM new connections come for up to 0.4 s.
@@ -34,15 +35,21 @@
 	maxHead    = 32 << 10
 )
 
-// Half of the descriptors that are left serve clients, the other half servers.
+// Clients use at most a third of the descriptors for requests, and a request needs one connection to a server at a
+// time, so a third is enough there. What is left is the clients': peers that send nothing hold places too.
 func (l Limits) inbound() int {
 	if l.Sockets <= 0 {
 		return 1 << 20
 	}
-	return max(1, (l.Sockets-reserved)/2)
+	return max(1, l.Sockets-reserved-l.upstream())
 }
 
-func (l Limits) upstream() int { return l.inbound() }
+func (l Limits) upstream() int {
+	if l.Sockets <= 0 {
+		return 1 << 20
+	}
+	return max(1, min(l.Sockets/3+probing, (l.Sockets-reserved)/2))
+}
 
 // inbound is a client's request as read.
 type inbound struct {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -336,11 +336,14 @@
 	eventually(t, "healthy", func() bool { resp, _ := r.ask(health); return resp.StatusCode == 200 })
 }
 
-// Descriptors: both sides and what is kept for discovery fit under the limit.
+// Descriptors: both sides and what is kept for discovery fit under the limit. Each request of the third that clients
+// use has a connection to a server, and peers that send nothing find places beside them.
 func TestTheSharesOfTheDescriptors(t *testing.T) {
-	l := Limits{Sockets: 1024}
-	if n := l.inbound() + l.upstream() + turnedAway; n > 1024-32 || l.inbound() < 256 || l.upstream() < 256 {
-		t.Errorf("%d and %d", l.inbound(), l.upstream())
+	for _, sockets := range []int{256, 384, 1024} {
+		l, third := Limits{Sockets: sockets}, sockets/3
+		if n := l.inbound() + l.upstream() + turnedAway; n > sockets-32 || l.upstream() < third || l.inbound() < third+16 {
+			t.Errorf("of %d: %d for clients and %d for servers", sockets, l.inbound(), l.upstream())
+		}
 	}
 }
 
