Learn per server how long idle connections last: some are reset when used after 0.1 s

The settings say 30 s, and park (internal/sidecar/upstream.go) kept connections for 24 s. A part of the servers forgets them after about 0.1 s without a close that the reader could see. Excluded: load (the losses are as many in quiet stretches), new connections (1 of 215 fast resets), our own idle time-out.

Two losses in a row on a server, with no longer idle connection working between them, now set a limit a fifth below the shorter one; older connections are closed, not used. It holds 10 s and is then tried anew, so chance costs little. What the settings say stays the upper bound.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -28,6 +28,8 @@
 	defaultDial  = 1000
 	probeTimeout = 1000
 	loadHeader   = "Endpoint-Load-Metrics"
+	leastIdle    = 20 * time.Millisecond // a connection lost sooner was hardly lost for being idle
+	relearn      = 10 * time.Second
 )
 
 // upstream holds the connections to servers. They carry one request at a time.
@@ -52,6 +54,42 @@
 	offSince atomic.Uint64
 	addr     string  // guarded by upstream.mu, as is idle
 	idle     []*conn // newest last
+	keeping
+}
+
+// keeping is what shows how long a server's idle connections can be used. Some forget theirs far sooner than the
+// settings say and tell it only by a reset of the next request, which may not always be sent again.
+type keeping struct {
+	suspect time.Duration // idle time of the last connection that was lost; 0: a longer one has worked since
+	limit   time.Duration // none is used that was idle for longer; 0: as the settings say
+	since   time.Time     // ... learned then
+}
+
+// lost and worked take in what came of a connection that had been idle. Connections are lost by chance too: only
+// two in a row, none that idled longer working between them, show a limit.
+func (k *keeping) lost(idle time.Duration) {
+	switch {
+	case idle < leastIdle:
+	case k.suspect == 0:
+		k.suspect = idle
+	default:
+		k.limit, k.since = max(leastIdle, time.Duration(idlePart*float64(min(idle, k.suspect)))), time.Now()
+		k.suspect = 0
+	}
+}
+
+func (k *keeping) worked(idle time.Duration) {
+	if idle >= k.suspect {
+		k.suspect = 0
+	}
+}
+
+// most is how long a connection may have been idle to be used. What was learned is tried anew from time to time.
+func (k *keeping) most(settings time.Duration) time.Duration {
+	if k.limit > 0 && time.Since(k.since) < relearn {
+		return min(k.limit, settings)
+	}
+	return settings
 }
 
 // tally counts the open connections, and those dialled and taken again since the start.
@@ -197,6 +235,11 @@
 // connect takes the newest idle connection, which is the least likely to be closed by the server, or opens one.
 func (u *upstream) connect(ctx context.Context, e *endpoint, x *exchange) (*conn, error) {
 	u.mu.Lock()
+	if n := len(e.idle); n > 0 && time.Since(e.idle[n-1].last) > e.most(u.idle) {
+		u.mu.Unlock()
+		u.closeIdle(e) // the others were idle for longer
+		u.mu.Lock()
+	}
 	if n := len(e.idle); n > 0 {
 		c := e.idle[n-1]
 		e.idle = e.idle[:n-1]
@@ -267,7 +310,7 @@
 		return
 	}
 	c.last = time.Now()
-	c.SetReadDeadline(c.last.Add(u.idle))
+	c.SetReadDeadline(c.last.Add(c.to.most(u.idle)))
 	c.to.idle = append(c.to.idle, c)
 	u.all[c.to] = struct{}{}
 }
@@ -285,6 +328,9 @@
 		}
 		if x == nil || err != nil || !x.begun.Load() {
 			u.forget(c)
+			if x != nil && x.idle > 0 {
+				c.to.lost(x.idle)
+			}
 			u.mu.Unlock()
 			c.Close()
 			if x != nil {
@@ -292,6 +338,7 @@
 			}
 			return
 		}
+		c.to.worked(x.idle)
 		u.mu.Unlock()
 		r, keep := readReply(c.in, x.method, u.fields)
 		if keep && c.in.Buffered() == 0 {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -178,6 +179,66 @@
 	}
 }
 
+// A server that forgets idle connections and resets what is written to them costs two requests, not each one.
+func TestAServerThatForgetsIdleConnections(t *testing.T) {
+	served := map[net.Conn]bool{}
+	var mu sync.Mutex
+	p := newPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if served[c] {
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		served[c] = true
+		io.WriteString(c, okAnswer)
+		return true
+	})
+	u := testUpstream(t, 9)
+	e := &endpoint{addr: p.addr}
+	lost := 0
+	for range 10 {
+		if r := u.send(context.Background(), u.call(e)); r.result == balance.Reset {
+			lost++
+		} else if r.result != balance.OK {
+			t.Fatalf("result %v (%v)", r.result, r.err)
+		}
+		u.mu.Lock()
+		for _, c := range e.idle {
+			c.last = c.last.Add(-time.Second)
+		}
+		u.mu.Unlock()
+	}
+	if lost != 2 {
+		t.Errorf("%d of 10 were lost", lost)
+	}
+}
+
+// Connections that are lost by chance show no limit, and a limit is tried anew some time later.
+func TestLostByChance(t *testing.T) {
+	const settings, ms = 8 * time.Second, time.Millisecond
+	var k keeping
+	for range 5 { // a longer idle one works in between, or they were hardly idle
+		k.lost(100 * ms)
+		k.worked(150 * ms)
+		k.lost(leastIdle / 2)
+		k.lost(leastIdle / 2)
+	}
+	if got := k.most(settings); got != settings {
+		t.Errorf("by chance: %v", got)
+	}
+	k.lost(200 * ms)
+	k.worked(50 * ms)
+	k.lost(150 * ms)
+	if got := k.most(settings); got >= 150*ms || got < 50*ms {
+		t.Errorf("two at 150 and 200 ms: %v", got)
+	}
+	k.since = k.since.Add(-relearn)
+	if got := k.most(settings); got != settings {
+		t.Errorf("later: %v", got)
+	}
+}
+
 func TestTheNewestConnectionIsUsedFirst(t *testing.T) {
 	p := newPeer(t, says(okAnswer))
 	u := testUpstream(t, 9)
