--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -290,7 +290,7 @@
 	}
 	took := l.clock.Now() - at.sent
 	l.counts.outcomes[rep.result]++
-	if rep.result != balance.OK && rep.result != balance.Cancelled {
+	if rep.result != balance.OK && rep.result != balance.Cancelled && l.mayLog() {
 		name := ""
 		if at.to != nil {
 			name = at.to.name
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -216,3 +218,25 @@
 		}
 	})
 }
+
+// On a bad day each attempt fails; the log must not grow with them, and the counts must still tell of all.
+func TestTheLogIsBounded(t *testing.T) {
+	p := newPeer(t, says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"))
+	r := withServers(t, p.addr)
+	var text bytes.Buffer
+	r.within(func() { r.loop.log = slog.New(slog.NewTextHandler(&text, nil)) })
+	c, in := r.open()
+	for i := range 2 * mostLogged {
+		io.WriteString(c, once(fmt.Sprint("t", i)))
+		r.answer(in)
+	}
+	r.within(func() {
+		spans := 1 + strings.Count(text.String(), "msg=status")
+		if n := strings.Count(text.String(), "msg=attempt"); n == 0 || n > spans*mostLogged {
+			t.Errorf("%d lines in %d spans", n, spans)
+		}
+		if n := r.loop.counts.outcomes[balance.Failed]; n != 2*mostLogged {
+			t.Errorf("%d counted", n)
+		}
+	})
+}
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -10,16 +10,21 @@
 // statusEvery is how often a busy sidecar logs what it did.
 const statusEvery = 5 * time.Second
 
+// mostLogged is how many attempts that failed have a line of their own between two status lines, which count all.
+const mostLogged = 100
+
 // counts is what the loop has seen since the start.
 type counts struct {
 	requests, hangUps int
 	answers           [balance.Moot + 1]int // by kind
 	outcomes          [balance.Moot + 1]int // of attempts, by result
+	logged            int                   // attempts since the last status line
 }
 
 // logStatus writes one line with all counts since the start and the module's view of the load: what is refused is
 // told with its reason, and the difference of two lines is what happened between them.
 func (l *Loop) logStatus() {
+	l.counts.logged = 0
 	if l.counts.requests == 0 {
 		return
 	}
@@ -46,3 +51,9 @@
 		slog.Group("conns", "open", open, "dials", dials, "reuses", reuses),
 		slog.Group("clients", clients...))
 }
+
+// mayLog counts the lines about single attempts: on a bad day there would be one for each.
+func (l *Loop) mayLog() bool {
+	l.counts.logged++
+	return l.counts.logged <= mostLogged
+}
