--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -172,6 +172,11 @@
 	if !known {
 		return in, http.StatusBadRequest, fmt.Errorf("unknown class %q", h.Get("X-Qos"))
 	}
+	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
+		if len(h[http.CanonicalHeaderKey(name)]) > 1 { // servers and we might go by different ones
+			return in, http.StatusBadRequest, fmt.Errorf("%s more than once", name)
+		}
+	}
 	in.class, in.trace = class, h.Get("X-Trace-Id")
 	in.tenant = slices.Index(s.loop.profile.Profile.Tenants, h.Get("X-Customer")) // -1: none
 	in.method, in.target = req.Method, req.RequestURI
@@ -185,6 +190,8 @@
 	case (effect == balance.Safe) != (in.method == http.MethodGet), effect != balance.Safe && in.method != http.MethodPost,
 		(effect == balance.Keyed) != (key != ""):
 		return in, http.StatusBadRequest, errors.New("method and key do not fit the class")
+	case in.method == http.MethodGet && req.ContentLength != 0: // a server may take its body for the next request
+		return in, http.StatusBadRequest, errors.New("a GET with a body")
 	}
 	// Every client says how long it waits. A guess in its place would be the longest wait there is, against which the
 	// module holds all later tries.
@@ -230,7 +237,7 @@
 		return 0, fmt.Errorf("X-Expires-In: %q", text)
 	}
 	v, err := strconv.ParseFloat(digits, 64)
-	if err != nil || !(v > 0) || v > 1e12 {
+	if err != nil || strings.Trim(digits, ".0123456789") != "" || !(v > 0) || v > 1e12 {
 		return 0, fmt.Errorf("X-Expires-In: %q", text)
 	}
 	return v * unit, nil
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -63,6 +63,12 @@
 		"no number":          {"GET /look" + untimed + "X-Qos: look\r\nX-Expires-In: NaNm\r\n\r\n", 400},
 		"no time":            {"GET /look" + untimed + "X-Qos: look\r\n\r\n", 400},
 		"an empty time":      {"GET /look" + untimed + "X-Qos: look\r\nX-Expires-In: \r\n\r\n", 400},
+		"another notation":   {"GET /look" + untimed + "X-Qos: look\r\nX-Expires-In: 1e3m\r\n\r\n", 400},
+		"two times":          {"GET /look" + head + "X-Qos: look\r\nX-Expires-In: 8000m\r\n\r\n", 400},
+		"two ids":            {"GET /look" + head + "X-Qos: look\r\nX-Trace-Id: u\r\n\r\n", 400},
+		"two keys":           {"POST /book" + head + "X-Qos: book\r\nIdempotency-Key: k\r\nIdempotency-Key: l\r\nContent-Length: 0\r\n\r\n", 400},
+		"a GET with a body":  {"GET /look" + head + "X-Qos: look\r\nContent-Length: 2\r\n\r\nhi", 400},
+		"a GET in chunks":    {"GET /look" + head + "X-Qos: look\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 400},
 		"a large body":       {"POST /once" + head + "X-Qos: once\r\nContent-Length: 65537\r\n\r\n", 413},
 		"a large chunked body": {"POST /once" + head + "X-Qos: once\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
 			strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 413},
