Spread calls to discovery over the time in which it can answer all sidecars

Counted over 80 sidecars: at the start all call within 0.1 s. 32 watches come through, 48 are reset after 2 s, which is what discovery lets a call wait; it takes some 16 a second in turn. Ruled out: the network code (each failed call waited 2.0 s or was turned away at once), and discovery being down (single calls between the bursts come through).

At fault: Start, which called at once, and askAgain, which waits a fixed half of a pause that takes no account of how many sidecars call (balance/balance.go). Calls are now made at a random moment of a span that holds a turn for each sidecar, doubling with each failure, up to half of the limit on sidecars without a watch.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,14 +51,15 @@
 	eager        = 8    // times faster that sizes are learned at first: restarted sidecars know none
 	leastHold    = 0.05 // part of the aim for which a refused client is to hold off at least
 	mostHold     = 0.25 // ... and at most: else its later try is too late
-	askPause     = 500  // ms before a failed list call is made again; doubles each time
+	askPause     = 500  // ms within which a failed list call is made again at the least; doubles each time
+	askTurn      = 60   // ms of discovery's time for a call, at the most that was seen
 )
 
 // Start begins the balancer's life. The actions are valid until the next call.
 func (b *Balancer) Start(now float64) []Action {
 	b.now, b.started, b.out = now, now, b.out[:0]
 	if b.cfg.Subscribe {
-		b.ask()
+		b.askWithin(askTurn * float64(b.cfg.Peers)) // all sidecars may have been started together
 	}
 	return b.out
 }
@@ -640,12 +641,20 @@
 	s.coldSince, s.tokens, s.tokensAt = since, b.random(), b.now
 }
 
-// askAgain calls again after a growing, jittered pause, within the limit on sidecars not subscribed.
+// askAgain calls again within a growing time, in which discovery can answer all sidecars: they fail together.
 func (b *Balancer) askAgain() {
-	pause := askPause * float64(int(1)<<min(b.asks, 4))
-	if b.cfg.AskWithin > 0 {
-		pause = math.Min(pause, b.cfg.AskWithin/3)
+	span := math.Max(askPause, askTurn*float64(b.cfg.Peers))
+	span *= float64(int(1) << min(b.asks, 4))
+	if b.cfg.AskWithin > 0 { // the limit on sidecars that are not subscribed
+		span = math.Min(span, b.cfg.AskWithin/2)
 	}
 	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.random()/2)})
+	b.askWithin(span)
+}
+
+// askWithin calls at a random moment: calls made in step wait for each other, fail, and are made again
+// in step. Its random numbers are its own: requests go the same ways whenever discovery is called.
+func (b *Balancer) askWithin(span float64) {
+	own := Balancer{rng: b.cfg.Seed ^ uint64(listTimer+b.asks)}
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: span * own.random()})
 }
