Let many sidecars tell each other what they hold at servers, and which fail

The part shed differed between 0 and 0.95 from one sidecar to the next at the same moment: it followed chance, not the load. A sidecar has 2 to 100 requests a second here; in flight at it are none or one, and Little's law over a few answers swings between 0 and twice the aim (admit, balance/balance.go).

What answers take comes too late and depends on what is let in; what servers hold does not. Each sidecar now tells the others, some 2.5 times a second, its requests at each server (3 bytes each). Servers that hold much for their size are passed over, and load is shed by what all servers in use hold for their sizes. With fewer than eight sidecars, or messages not allowed, all stays as it was.

--- a/balance/api.go
+++ b/balance/api.go
@@ -127,6 +127,7 @@
 	Steady, Over       float64
 	Quickest, Pressure float64 // times of answers as a part of their aim
 	Resting, Cold      int     // servers
+	Heard, Dropped     int     // messages of other sidecars: taken in, and not
 }
 
 // State is what discovery knows of a server.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,7 @@
 	if b.cfg.Subscribe {
 		b.askWithin(askTurn * float64(b.cfg.Peers)) // all sidecars may have been started together
 	}
+	b.shareLater()
 	return b.out
 }
 
@@ -104,6 +105,10 @@
 	hurry := bound(fewInAim/(b.asked.rate(b, 0, 0)*b.longestAim), 1, fewInAim)
 	b.steady = bound(b.steady+shedRate*hurry*over, 0, maxShed)
 	shed := bound(b.steady+shedNow*over, 0, math.Min(maxShed, 2*b.steady)) // not by chance alone
+	if b.informed() {
+		shed = b.fleetShed()
+		b.steady = shed
+	}
 	if b.late(r) && b.steady >= r.class.LateWorth {
 		b.stats.Late++
 		return false
@@ -321,6 +326,7 @@
 		// Bounded load: a server that holds more than its share is slow, hung or filled by others,
 		// whatever its errors say. It is passed over and keeps its running value for later.
 		over := !s.known || b.holds(s)+1 > math.Ceil(headroom*held*s.weight/shares)
+		over = over || b.informed() && b.full(s)
 		if best == nil || bestOver && !over || over == bestOver && b.before(s, best, repeat, over) {
 			best, bestOver = s, over
 		}
@@ -495,6 +501,7 @@
 // fault counts an error against m; a server rests at once when away, else after several, ever longer.
 func (b *Balancer) fault(s *server, away bool) {
 	s.errs, s.lastErr = s.errs+1, b.now
+	b.saw(s, news{failed: 1})
 	b.learn(s, 3)
 	if away || s.errs >= strikes {
 		b.rest(s)
@@ -534,6 +541,7 @@
 			b.chill(s, b.now)
 		}
 		s.pardon()
+		b.saw(s, news{answered: true})
 		b.answers.rate(b, 1, 0)
 		b.time(ev.Took / r.class.Aim)
 		if b.now <= r.arrived+r.class.Aim {
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -6,9 +6,15 @@
 	"testing"
 )
 
-// New staff read balance.go in their first days: it has to stay short.
+// New staff read the decisions in their first days: they have to stay short.
 func TestModuleStaysShort(t *testing.T) {
-	text, err := os.ReadFile("balance.go")
+	for _, name := range []string{"balance.go", "share.go"} {
+		staysShort(t, name)
+	}
+}
+
+func staysShort(t *testing.T, name string) {
+	text, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -18,10 +24,10 @@
 			lines++
 		}
 		if width := len([]rune(strings.ReplaceAll(line, "\t", "    "))); width > 110 {
-			t.Errorf("line %d is %d columns wide", i+1, width)
+			t.Errorf("%s: line %d is %d columns wide", name, i+1, width)
 		}
 	}
 	if lines > 800 {
-		t.Errorf("%d lines, at most 800", lines)
+		t.Errorf("%s: %d lines, at most 800", name, lines)
 	}
 }
--- /dev/null
+++ b/balance/share.go
@@ -0,0 +1,243 @@
+package balance
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+// This file is what many sidecars tell each other of the servers: each sees so few requests that alone
+// it learns too late which servers fail and how full they are. Where nothing is heard, all goes by the
+// sidecar's own requests.
+//
+// A message, big-endian: u8 the version, u32 the sender's clock in milliseconds modulo 2^32, then for each
+// server at which the sender has requests or that failed or came back since its last message: u16 its tag
+// (see tagOf), u8 the sender's requests at it now (high four bits), whether it answered (bit 3) and how
+// often it failed (low three bits).
+const (
+	shareVersion = 1
+	shareHeader  = 5
+	shareEntry   = 3
+	mostMessage  = 256  // bytes, by the protocol
+	shareEvery   = 400  // ms between two messages of a sidecar
+	shareStale   = 1500 // ms after which what was told counts no more
+	manyPeers    = 8    // sidecars: fewer see enough for themselves
+	answered     = 8
+	evidenceSpan = 4000 // ms after which failures at a server are forgotten
+	fleetStrikes = 3    // failures that all sidecars saw before a server is rested
+	fullAt       = 1.2  // requests at a server, by its size, above which it is passed over
+	shedFrom     = 0.7  // requests at all servers, by their sizes, above which load is shed
+	shedAll      = 1.7  // ... and all of it that may be
+)
+
+// shareTimer is the token of the timer of messages.
+const shareTimer = listTimer + 1
+
+// evidence is what all sidecars heard from have lately seen of a server, this one included.
+type evidence struct {
+	streak, at float64 // failures, halved by each answer
+	accuser    int     // who told of the last one
+	agreed     bool    // more than one have told of them
+}
+
+// news is what this sidecar has to tell of a server.
+type news struct {
+	failed   float64
+	answered bool
+}
+
+// peer is another sidecar's last message.
+type peer struct {
+	stamp uint32
+	at    float64
+	held  []held
+}
+
+type held struct {
+	s *server
+	n float64
+}
+
+// tagOf names a server in messages; IDs are the same at every sidecar.
+func tagOf(id ServerID) uint16 { return uint16(mix(uint64(id))) }
+
+// tagServers keeps whom a tag means. Where two share one, it means neither.
+func (b *Balancer) tagServers() {
+	b.byTag = make(map[uint16]*server, len(b.servers))
+	for _, s := range b.servers {
+		tag := tagOf(s.ID)
+		if _, twice := b.byTag[tag]; twice {
+			b.byTag[tag] = nil
+		} else {
+			b.byTag[tag] = s
+		}
+	}
+}
+
+func (b *Balancer) shares() bool { return b.cfg.Messages && b.cfg.Peers >= manyPeers }
+
+// shareLater sets the timer of the next message, at a random point so that sidecars do not tell in step.
+func (b *Balancer) shareLater() {
+	if b.shares() {
+		b.emit(Action{Kind: SetTimer, Token: shareTimer, At: shareEvery * (0.5 + b.random())})
+	}
+}
+
+// share tells the others what this sidecar has at servers, and what came of it since the last time.
+func (b *Balancer) share() {
+	b.forgetSilent()
+	data := binary.BigEndian.AppendUint32([]byte{shareVersion}, b.stamp())
+	for _, s := range b.servers {
+		if s.inFlight == 0 && s.news == (news{}) || len(data)+shareEntry > mostMessage {
+			continue
+		}
+		entry := uint8(min(s.inFlight, 15))<<4 | uint8(math.Min(s.news.failed, answered-1))
+		if s.news.answered {
+			entry |= answered
+		}
+		data = append(binary.BigEndian.AppendUint16(data, tagOf(s.ID)), entry)
+		s.news = news{}
+	}
+	if told := len(data) > shareHeader; told || b.told { // an empty one takes back the one before
+		b.told = told
+		b.emit(Action{Kind: Post, Peer: -1, Data: data})
+	}
+	b.shareLater()
+}
+
+func (b *Balancer) stamp() uint32 { return uint32(uint64(b.now)) }
+
+// forgetSilent takes back what sidecars told that have not been heard for long: they may be gone.
+func (b *Balancer) forgetSilent() {
+	for _, p := range b.heard {
+		if b.now-p.at > shareStale {
+			p.take(nil)
+		}
+	}
+}
+
+// take puts what a sidecar holds at servers in place of what it told before.
+func (p *peer) take(now []held) {
+	for _, h := range p.held {
+		h.s.elsewhere -= h.n
+	}
+	for _, h := range now {
+		h.s.elsewhere += h.n
+	}
+	p.held = now
+}
+
+// onMessage takes in what another sidecar tells. What is malformed, old, told twice or from nobody known is
+// dropped.
+func (b *Balancer) onMessage(ev Message) {
+	if ev.From == b.cfg.Number {
+		return
+	}
+	d := ev.Data
+	if ev.From < 0 || ev.From >= b.cfg.Peers || !b.shares() || len(d) > mostMessage || len(d) < shareHeader ||
+		d[0] != shareVersion || (len(d)-shareHeader)%shareEntry != 0 {
+		b.stats.Dropped++
+		return
+	}
+	sent := binary.BigEndian.Uint32(d[1:])
+	p := b.heard[ev.From]
+	age := int32(b.stamp() - sent)
+	if age > shareStale || age < -shareStale || p != nil && int32(sent-p.stamp) <= 0 {
+		b.stats.Dropped++
+		return
+	}
+	if p == nil {
+		p = &peer{}
+		b.heard[ev.From] = p
+	}
+	p.stamp, p.at, b.heardAt = sent, b.now, b.now
+	b.stats.Heard++
+	var now []held
+	for d = d[shareHeader:]; len(d) > 0; d = d[shareEntry:] {
+		s := b.byTag[binary.BigEndian.Uint16(d)]
+		if s == nil {
+			continue
+		}
+		if n := d[2] >> 4; n > 0 {
+			now = append(now, held{s, float64(n)})
+		}
+		b.witness(s, ev.From, news{float64(d[2] & (answered - 1)), d[2]&answered != 0})
+	}
+	p.take(now)
+}
+
+// saw takes in what this sidecar saw of a server, for itself and to tell. An answer is news after failures.
+func (b *Balancer) saw(s *server, n news) {
+	s.news.failed += n.failed
+	s.news.answered = s.news.answered || n.answered && s.evidence.streak > 0
+	b.witness(s, b.cfg.Number, n)
+}
+
+// witness adds to what is known of a server. Where all sidecars together got hardly anything but failures
+// and more than one tells of them, it rests before this one has paid for the lesson itself, and on while
+// others try it in vain; once others are answered it rests no more.
+func (b *Balancer) witness(s *server, from int, n news) {
+	e, others := &s.evidence, from != b.cfg.Number
+	if b.now-e.at > evidenceSpan {
+		*e = evidence{}
+	}
+	e.at = b.now
+	if n.failed > 0 {
+		e.agreed = e.agreed || e.streak > 0 && from != e.accuser
+		e.streak, e.accuser = e.streak+n.failed, from
+	}
+	if n.answered {
+		e.streak /= 2
+	}
+	switch failing := e.streak >= fleetStrikes && e.agreed; {
+	case !others:
+	case failing && n.failed > 0 && b.resting(s):
+		s.restUntil = math.Max(s.restUntil, b.now+shareEvery*(1+2*b.random()))
+	case failing && n.failed > 0 && !b.mostRest():
+		b.rest(s)
+	case !failing && n.answered && b.resting(s):
+		s.restUntil = b.now
+	}
+}
+
+// mostRest: where half of the servers rest, what fails is hardly single servers.
+func (b *Balancer) mostRest() bool {
+	n := 0
+	for _, s := range b.servers {
+		if b.resting(s) {
+			n++
+		}
+	}
+	return 2*n >= len(b.servers)
+}
+
+// informed: others tell what they have at the servers.
+func (b *Balancer) informed() bool { return b.heardAt > 0 && b.now-b.heardAt < shareStale }
+
+// able is how much a server can hold, by its size and warmth.
+func (b *Balancer) able(s *server) float64 {
+	if b.cold(s) {
+		return s.Rating * b.warmth(s)
+	}
+	return s.Rating
+}
+
+// full: all sidecars together have so much at the server that more would wait for too long.
+func (b *Balancer) full(s *server) bool {
+	return s.elsewhere+float64(s.inFlight)+1 > math.Max(2, fullAt*b.able(s))
+}
+
+// fleetShed is the part of the load to shed, by what all sidecars together have at the servers in use.
+// Those that hang hold ever more and have a bound to what they count.
+func (b *Balancer) fleetShed() float64 {
+	has, can := 0.0, 1e-3
+	for _, s := range b.servers {
+		if s.State != Ready || b.resting(s) {
+			continue
+		}
+		able := b.able(s)
+		has += math.Min(s.elsewhere+float64(s.inFlight), 2*shedAll*able)
+		can += able
+	}
+	b.over = has/can - shedFrom
+	return bound(b.over/(shedAll-shedFrom), 0, maxShed)
+}
--- /dev/null
+++ b/balance/share_test.go
@@ -0,0 +1,201 @@
+package balance
+
+import (
+	"bytes"
+	"testing"
+)
+
+// shareConfig is that of one of many sidecars that may tell each other something.
+func shareConfig(number int) Config {
+	cfg := baseConfig()
+	cfg.Messages, cfg.Peers, cfg.Number = true, 40, number
+	cfg.Seed = uint64(number + 1)
+	return cfg
+}
+
+// posted is the message that the sidecar sends when its timer is due; nil: none.
+func (g *rig) posted() []byte {
+	g.t.Helper()
+	for _, a := range g.do(Timer{Token: shareTimer}) {
+		if a.Kind == Post {
+			return append([]byte(nil), a.Data...)
+		}
+	}
+	return nil
+}
+
+// tells has another sidecar of the same fleet tell of n failures, or of an answer where n is 0.
+func (g *rig) tells(from int, s *server, n int) {
+	g.t.Helper()
+	other := newRig(g.t, shareConfig(from), g.b.listed()...)
+	other.now = g.now
+	other.b.now = g.now
+	theirs := other.b.byID[s.ID]
+	for range n {
+		other.b.saw(theirs, news{failed: 1})
+	}
+	if n == 0 {
+		theirs.evidence.streak = 1 // else an answer is no news
+		other.b.saw(theirs, news{answered: true})
+	}
+	g.do(Message{From: from, Data: other.posted()})
+}
+
+func (b *Balancer) listed() []Server {
+	var list []Server
+	for _, s := range b.servers {
+		list = append(list, s.Server)
+	}
+	return list
+}
+
+// Each of 80 sidecars learned on its own that a server was dead, and paid some requests for it. It takes two that
+// tell of failures, and one that was answered ends it: no single one may ban a server, or keep it banned.
+func TestServersThatFailOthersRest(t *testing.T) {
+	g := newRig(t, shareConfig(0), fleet(8)...)
+	s := g.b.servers[3]
+	g.tells(1, s, 6)
+	if g.b.resting(s) {
+		t.Fatal("a single sidecar had a server rested")
+	}
+	g.tells(2, s, 3)
+	if !g.b.resting(s) {
+		t.Fatal("a server that fails others is used")
+	}
+	for from := 3; g.b.resting(s) && from < 10; from++ {
+		g.tells(from, s, 0)
+	}
+	if g.b.resting(s) {
+		t.Fatal("a server that answers others rests")
+	}
+}
+
+// Where most servers fail it is no single server's trouble.
+func TestHearsayLeavesHalfOfTheServers(t *testing.T) {
+	g := newRig(t, shareConfig(0), fleet(8)...)
+	rested := 0
+	for _, s := range g.b.servers {
+		g.tells(1, s, 3)
+		g.now += 2
+		g.tells(2, s, 3)
+		g.now += 2
+		if g.b.resting(s) {
+			rested++
+		}
+	}
+	if rested != 4 {
+		t.Fatalf("%d of 8 servers rest by hearsay", rested)
+	}
+}
+
+// Servers filled by others looked empty to each sidecar, until they choked. What was told counts until it is taken
+// back, or its sender falls silent.
+func TestServersFilledByOthersArePassedOver(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		g, other := newRig(t, shareConfig(0), fleet(8)...), newRig(t, shareConfig(1), fleet(8)...)
+		full := g.b.servers[0]
+		other.b.servers[0].inFlight = 10
+		g.do(Message{From: 1, Data: other.posted()})
+		if silent {
+			g.now += shareStale + 1
+			g.posted()
+		}
+		sent := 0
+		for range 32 {
+			id, acts := g.ask(unsafeClass)
+			if to, _ := sentTo(acts); to == full.ID {
+				sent++
+			}
+			g.answer(id, 0, OK, 10)
+		}
+		if silent != (sent > 0) {
+			t.Errorf("sender silent %v: %d of 32 went to the full server", silent, sent)
+		}
+	}
+}
+
+// A sidecar of few requests shed by its own few answers, up to all of its load and long after the crowd. What the
+// fleet holds tells both: full servers shed, and nothing is shed once they are empty.
+func TestShedFollowsWhatTheFleetHolds(t *testing.T) {
+	g, other := newRig(t, shareConfig(0), fleet(4)...), newRig(t, shareConfig(1), fleet(4)...)
+	g.b.steady, g.b.pressure = maxShed, 2 // by its own answers all is lost
+	refused := func(each int) int {
+		other.now, g.now = other.now+10, g.now+10
+		for _, s := range other.b.servers {
+			s.inFlight = each
+		}
+		g.do(Message{From: 1, Data: other.posted()})
+		n := 0
+		for range 50 {
+			if id, acts := g.ask(safeClass); has(acts, Refuse) {
+				n++
+			} else {
+				g.answer(id, 0, OK, 10)
+			}
+		}
+		return n
+	}
+	if crowd, calm := refused(15), refused(0); crowd < 25 || calm > 0 {
+		t.Fatalf("of 50 requests %d refused with full servers and %d with empty ones", crowd, calm)
+	}
+}
+
+// Nothing that is wrong with a message may change anything.
+func TestOddMessagesAreDropped(t *testing.T) {
+	other := newRig(t, shareConfig(1), fleet(4)...)
+	for _, s := range other.b.servers {
+		s.inFlight = 9
+	}
+	good := other.posted()
+	long := append(good[:len(good):len(good)], bytes.Repeat(good[shareHeader:], 40)...)
+	version := append([]byte{shareVersion + 1}, good[1:]...)
+	old := append([]byte{shareVersion, 0xff, 0xff, 0, 0}, good[shareHeader:]...)
+	for name, ev := range map[string]Message{
+		"unknown sender": {From: -1, Data: good}, "number beyond the peers": {From: 40, Data: good},
+		"nothing": {From: 1}, "cut short": {From: 1, Data: good[:len(good)-1]}, "only a version": {From: 1, Data: good[:1]},
+		"too long": {From: 1, Data: long}, "another version": {From: 1, Data: version}, "another time": {From: 1, Data: old},
+	} {
+		g := newRig(t, shareConfig(0), fleet(4)...)
+		if acts := g.do(ev); len(acts) != 0 || g.b.Stats().Dropped != 1 || g.b.informed() {
+			t.Errorf("%s: %d dropped, actions %v", name, g.b.Stats().Dropped, acts)
+		}
+		for _, s := range g.b.servers {
+			if s.elsewhere != 0 {
+				t.Errorf("%s: a server is held to hold %v", name, s.elsewhere)
+			}
+		}
+	}
+	g := newRig(t, shareConfig(0), fleet(2)...) // it knows only two of the four servers
+	g.do(Message{From: 1, Data: good})
+	g.do(Message{From: 1, Data: good})
+	g.do(Message{From: 0, Data: good}) // its own, come back
+	st := g.b.Stats()
+	if st.Heard != 1 || st.Dropped != 1 || g.b.servers[0].elsewhere != 9 || len(g.b.servers) != 2 {
+		t.Errorf("a message told twice: %+v, held %v, %d servers", st, g.b.servers[0].elsewhere, len(g.b.servers))
+	}
+}
+
+// Messages cost something at each receiver: nothing is told where it is not allowed, by few sidecars, or without news.
+func TestOnlyNewsIsTold(t *testing.T) {
+	for name, tune := range map[string]func(*Config){
+		"not allowed": func(c *Config) { c.Messages = false }, "few": func(c *Config) { c.Peers = manyPeers - 1 },
+	} {
+		cfg := shareConfig(0)
+		tune(&cfg)
+		if g := newRig(t, cfg, fleet(4)...); len(g.acts) != 0 {
+			t.Errorf("%s: %+v", name, g.acts)
+		}
+	}
+	g := newRig(t, shareConfig(0), fleet(4)...)
+	if len(g.acts) != 1 || g.acts[0].Token != shareTimer {
+		t.Fatalf("no timer for messages: %+v", g.acts)
+	}
+	before := g.posted()
+	id, _ := g.ask(safeClass)
+	held := g.posted()
+	g.answer(id, 0, OK, 10)
+	back, after := g.posted(), g.posted()
+	if before != nil || len(held) != shareHeader+shareEntry || len(back) != shareHeader || after != nil {
+		t.Fatalf("told %v with nothing, %v with a request out, %v and %v after it", before, held, back, after)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -24,12 +24,16 @@
 	ring    []*server // ... in the order of this sidecar's round; see subset
 	near    []*server // the present subset
 	byID    map[ServerID]*server
-	pool    float64         // sum of weights at the last first pick
-	kinds   map[int]float64 // learned logarithm of size by kind
-	zones   map[int]float64 // ... and by zone
-	learned float64         // times learn was called
-	drift   float64         // mean step of learn
-	asks    int             // failed list calls in a row
+	byTag   map[uint16]*server // by their names in messages
+	heard   map[int]*peer      // sidecars that told something
+	heardAt float64            // ... when one last did
+	told    bool               // the last message of this one held anything
+	pool    float64            // sum of weights at the last first pick
+	kinds   map[int]float64    // learned logarithm of size by kind
+	zones   map[int]float64    // ... and by zone
+	learned float64            // times learn was called
+	drift   float64            // mean step of learn
+	asks    int                // failed list calls in a row
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
@@ -94,6 +98,10 @@
 	refused   int  // connections that could not be made since
 	down      bool // its process died
 
+	evidence  evidence
+	news      news
+	elsewhere float64 // other sidecars' requests at it, as they told
+
 	coldSince float64 // start of its warm-up
 	tokens    float64 // sends left in the cold budget
 	tokensAt  float64
@@ -219,7 +227,7 @@
 func New(cfg Config) *Balancer {
 	cfg = cfg.withDefaults()
 	b := &Balancer{
-		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
+		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, heard: map[int]*peer{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
 		spare: repeatBurst / 2,
@@ -269,6 +277,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Message:
+		b.onMessage(ev)
 	}
 	return b.out, err
 }
@@ -307,6 +317,8 @@
 func (b *Balancer) onTimer(ev Timer) {
 	if ev.Token == listTimer {
 		b.ask()
+	} else if ev.Token == shareTimer {
+		b.share()
 	} else if r := b.reqs[RequestID(ev.Token)]; r != nil {
 		r.wakeAt = math.Inf(1) // not compared with the clock: a timer may come a rounding error early
 		b.step(r)
@@ -362,6 +374,7 @@
 	b.servers = kept
 	sort.Slice(kept, func(i, j int) bool { return kept[i].ID < kept[j].ID })
 	b.ring = append(b.ring[:0], kept...)
+	b.tagServers()
 	sort.SliceStable(b.ring, func(i, j int) bool { return b.ring[i].place < b.ring[j].place })
 }
 
--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -45,6 +45,10 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	loop := sidecar.NewLoop(sidecar.NewClock(), &cfg, log)
+	if err := loop.OpenPeers(); err != nil {
+		ln.Close()
+		return err
+	}
 	alive, end := context.WithCancel(context.Background())
 	defer end()
 	go loop.Run(alive)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	Limits            Limits
 	Known             Catalog // the list of servers as last had
 	Profile           wire.Profile
+	PeerListen        netip.AddrPort   // where datagrams of other sidecars arrive; not valid: nowhere
+	Peers             []netip.AddrPort // their addresses, by number
+	PeersAll          netip.AddrPort   // reaches all of them
 }
 
 // Limits bound the process; 0 is no bound.
@@ -40,6 +44,10 @@
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
+
+		PeerListen string   `json:"peer_listen"`
+		Peers      []string `json:"peers"`
+		PeersAll   string   `json:"peers_all"`
 	}
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
@@ -62,7 +70,34 @@
 			return c, fmt.Errorf("config: known: %w", err)
 		}
 	}
-	return c, nil
+	return c, c.setPeers(file.PeerListen, file.PeersAll, file.Peers)
+}
+
+// setPeers takes in the addresses of the other sidecars. There is no name service, so each must be an IP address.
+func (c *Config) setPeers(listen, all string, peers []string) (err error) {
+	parse := func(addr string) (netip.AddrPort, error) {
+		if addr == "" {
+			return netip.AddrPort{}, nil
+		}
+		a, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return a, fmt.Errorf("config: peer address %q: %w", addr, err)
+		}
+		return a, nil
+	}
+	if c.PeerListen, err = parse(listen); err != nil {
+		return err
+	}
+	if c.PeersAll, err = parse(all); err != nil {
+		return err
+	}
+	c.Peers = make([]netip.AddrPort, len(peers))
+	for i, addr := range peers {
+		if c.Peers[i], err = parse(addr); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Clock gives Unix time in milliseconds that never goes back: the wall clock is read once, since
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -41,6 +41,7 @@
 	stopWatch  context.CancelFunc
 	later      []func() // outcomes that an action had at once
 	counts     counts
+	peers      *peers // nil: none, or no messages allowed
 }
 
 // request is a client's request until it is answered and its last attempt has ended.
@@ -96,6 +97,10 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.ended)
 	l.ctx = ctx
+	if l.peers != nil {
+		defer l.peers.close()
+		go l.hear()
+	}
 	l.generation = l.profile.Known.Generation // the first watch, begun by Start, asks for what came after it
 	l.carryOut(l.b.Start(l.clock.Now()))
 	l.list(l.profile.Known, balance.ListCached)
@@ -175,6 +180,8 @@
 				c, err := disc.fetch(l.ctx)
 				l.post(func() { l.called(c, err) })
 			}()
+		case balance.Post:
+			l.peers.post(a.Peer, a.Data)
 		case balance.Log:
 			l.log.Info(a.Text)
 		}
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -49,7 +49,8 @@
 		slog.Group("load", "steady", b.Steady, "over", b.Over, "quickest", b.Quickest, "pressure", b.Pressure),
 		slog.Group("servers", "known", len(l.servers), "resting", b.Resting, "cold", b.Cold),
 		slog.Group("conns", "open", open, "dials", dials, "reuses", reuses),
-		slog.Group("clients", clients...))
+		slog.Group("clients", clients...),
+		slog.Group("peers", "heard", b.Heard, "dropped", b.Dropped))
 }
 
 // mayLog counts the lines about single attempts: on a bad day there would be one for each.
