Use narrower subsets where sidecars tell each other what servers hold

Where requests in flight are shared, few servers are enough. With fewer sidecars, or no messages, the width stays.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	fairBound    = 2    // a tenant counts as at most this far under its share
 	alike        = 1.25 // values within this factor are shed alike, so that no tenant pays for a tiny excess
 	perServer    = 16   // connections a server is to hold when each sidecar uses only its least subset
+	perInformed  = 5    // ... and where sidecars tell each other what servers hold: fewer are enough then
 	leastWidth   = 3    // servers in a subset: enough to re-route when some of them fail together
 	spread       = 0.5  // ... and for each request within the longest aim: busy sidecars spread their load
 	rounds       = 8    // orders of the servers, so that neighbours in one have different ones in the others
@@ -341,7 +342,11 @@
 // starts at its place in a ring, is as wide as its traffic asks for, and goes on past members that rest.
 func (b *Balancer) subset() []*server {
 	n := float64(len(b.servers))
-	width := math.Max(leastWidth, perServer*n/float64(b.cfg.Peers))
+	each := float64(perServer)
+	if b.shares() {
+		each = perInformed
+	}
+	width := math.Max(leastWidth, each*n/float64(b.cfg.Peers))
 	width = math.Max(width, spread*b.asked.rate(b, 0, 0)*b.longestAim)
 	if width >= n {
 		return b.servers
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -107,3 +107,30 @@
 		}
 	}
 }
+
+// Of 80 sidecars most have a few requests a second, and each opened connections to twelve servers for them. Where
+// sidecars tell each other what servers hold, fewer servers are enough, and still all are used.
+func TestInformedSidecarsUseFewerServers(t *testing.T) {
+	const peers, servers = 80, 60
+	held := map[bool]map[ServerID]int{false: {}, true: {}}
+	for allowed, count := range held {
+		for n := range peers {
+			cfg := baseConfig()
+			cfg.Number, cfg.Peers, cfg.Messages = n, peers, allowed
+			for _, s := range newRig(t, cfg, fleet(servers)...).b.subset() {
+				count[s.ID]++
+			}
+		}
+		total := 0
+		for _, n := range count {
+			total += n
+		}
+		if len(count) != servers {
+			t.Errorf("messages %v: %d of %d servers used", allowed, len(count), servers)
+		}
+		held[allowed][0] = total
+	}
+	if alone, told := held[false][0], held[true][0]; told > alone/2 {
+		t.Errorf("%d connections where sidecars tell each other, %d where not", told, alone)
+	}
+}
