Hold servers back from the dead to be cold also where others found them dead

That hid a fault: a sidecar that rested a server by hearsay has not lost connections to it itself, so that judge does not hold it to be restarted, and witness (balance/share.go) would let it take a warm server's load until the list tells of the restart. That risks the budget of cold servers.

Messages now say whether connections failed. At most six failures count, and a server that took no connections and answers again is cold for all that heard of it. Servers that failed otherwise are not.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -506,7 +506,7 @@
 // fault counts an error against m; a server rests at once when away, else after several, ever longer.
 func (b *Balancer) fault(s *server, away bool) {
 	s.errs, s.lastErr = s.errs+1, b.now
-	b.saw(s, news{failed: 1})
+	b.saw(s, news{failed: 1, away: away})
 	b.learn(s, 3)
 	if away || s.errs >= strikes {
 		b.rest(s)
--- a/balance/share.go
+++ b/balance/share.go
@@ -11,8 +11,8 @@
 //
 // A message, big-endian: u8 the version, u32 the sender's clock in milliseconds modulo 2^32, then for each
 // server at which the sender has requests or that failed or came back since its last message: u16 its tag
-// (see tagOf), u8 the sender's requests at it now (high four bits), whether it answered (bit 3) and how
-// often it failed (low three bits).
+// (see tagOf), u8 the sender's requests at it now (high four bits), whether it answered (bit 3), whether
+// it could not be reached (bit 2) and how often it failed (low two bits).
 const (
 	shareVersion = 1
 	shareHeader  = 5
@@ -22,8 +22,10 @@
 	shareStale   = 1500 // ms after which what was told counts no more
 	manyPeers    = 8    // sidecars: fewer see enough for themselves
 	answered     = 8
+	away         = 4
 	evidenceSpan = 4000 // ms after which failures at a server are forgotten
 	fleetStrikes = 3    // failures that all sidecars saw before a server is rested
+	mostStrikes  = 6    // ... and the most that count: one that is back must not stay rested for long
 	forgive      = 0.7  // part of them that is left after each answer
 	fullAt       = 1.3  // requests at a server, by its size, above which it is passed over
 	shedFrom     = 0.7  // requests at all servers, by their sizes, above which load is shed
@@ -38,12 +40,13 @@
 	streak, at float64 // failures, fewer with each answer
 	accuser    int     // who told of the last one
 	agreed     bool    // more than one have told of them
+	away       bool    // some of them made no connection
 }
 
 // news is what this sidecar has to tell of a server.
 type news struct {
-	failed   float64
-	answered bool
+	failed         float64
+	answered, away bool
 }
 
 // peer is another sidecar's last message.
@@ -91,10 +94,13 @@
 		if s.inFlight == 0 && s.news == (news{}) || len(data)+shareEntry > mostMessage {
 			continue
 		}
-		entry := uint8(min(s.inFlight, 15))<<4 | uint8(math.Min(s.news.failed, answered-1))
+		entry := uint8(min(s.inFlight, 15))<<4 | uint8(math.Min(s.news.failed, away-1))
 		if s.news.answered {
 			entry |= answered
 		}
+		if s.news.away {
+			entry |= away
+		}
 		data = append(binary.BigEndian.AppendUint16(data, tagOf(s.ID)), entry)
 		s.news = news{}
 	}
@@ -161,7 +167,7 @@
 		if n := d[2] >> 4; n > 0 {
 			now = append(now, held{s, float64(n)})
 		}
-		b.witness(s, ev.From, news{float64(d[2] & (answered - 1)), d[2]&answered != 0})
+		b.witness(s, ev.From, news{float64(d[2] & (away - 1)), d[2]&answered != 0, d[2]&away != 0})
 	}
 	p.take(now)
 }
@@ -170,6 +176,7 @@
 func (b *Balancer) saw(s *server, n news) {
 	s.news.failed += n.failed
 	s.news.answered = s.news.answered || n.answered && s.evidence.streak > 0
+	s.news.away = s.news.away || n.away
 	b.witness(s, b.cfg.Number, n)
 }
 
@@ -184,8 +191,9 @@
 	e.at = b.now
 	if n.failed > 0 {
 		e.agreed = e.agreed || e.streak > 0 && from != e.accuser
-		e.streak, e.accuser = e.streak+n.failed, from
+		e.streak, e.accuser, e.away = math.Min(e.streak+n.failed, mostStrikes), from, e.away || n.away
 	}
+	lost := b.lostAll(s)
 	if n.answered {
 		e.streak *= forgive
 	}
@@ -198,6 +206,9 @@
 	case !failing && n.answered && b.resting(s):
 		s.restUntil = b.now
 	}
+	if lost && !b.lostAll(s) && !b.cold(s) { // it is back, and the list has yet to tell
+		b.chill(s, b.now)
+	}
 }
 
 // failing: more than one sidecar lately got hardly anything but failures from the server.
@@ -205,6 +216,9 @@
 	return s.evidence.streak >= fleetStrikes && s.evidence.agreed && b.now-s.evidence.at <= evidenceSpan
 }
 
+// lostAll: it fails, and takes no connections: its process died.
+func (b *Balancer) lostAll(s *server) bool { return s.evidence.away && b.failing(s) }
+
 // mostRest: where half of the servers rest, what fails is hardly single servers.
 func (b *Balancer) mostRest() bool {
 	n := 0
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -25,14 +25,17 @@
 }
 
 // tells has another sidecar of the same fleet tell of n failures, or of an answer where n is 0.
-func (g *rig) tells(from int, s *server, n int) {
+func (g *rig) tells(from int, s *server, n int) { g.t.Helper(); g.tellsOf(from, s, n, false) }
+
+// tellsOf does so of failures where no connection was made, or others.
+func (g *rig) tellsOf(from int, s *server, n int, away bool) {
 	g.t.Helper()
 	other := newRig(g.t, shareConfig(from), g.b.listed()...)
 	other.now = g.now
 	other.b.now = g.now
 	theirs := other.b.byID[s.ID]
 	for range n {
-		other.b.saw(theirs, news{failed: 1})
+		other.b.saw(theirs, news{failed: 1, away: away})
 	}
 	if n == 0 {
 		theirs.evidence.streak = 1 // else an answer is no news
@@ -234,3 +237,25 @@
 		t.Fatalf("shed %.2f with two of four servers failing, %.2f with none", half, all)
 	}
 }
+
+// A server that took no connections and answers again was restarted, and is cold for all that heard of it: those that
+// had not tried it themselves sent it a warm one's load until the list told. One that had failed otherwise is not.
+func TestServersBackFromTheDeadAreColdByHearsay(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		g := newRig(t, shareConfig(0), fleet(8)...)
+		s := g.b.servers[3]
+		for from := 1; from < 20; from++ { // however often it was tried in vain
+			g.tellsOf(from, s, 3, away)
+		}
+		if !g.b.resting(s) || g.b.cold(s) {
+			t.Fatalf("a failing server: rests %v, cold %v", g.b.resting(s), g.b.cold(s))
+		}
+		tellers := 0
+		for ; g.b.resting(s) && tellers < 5; tellers++ {
+			g.tells(20+tellers, s, 0)
+		}
+		if g.b.resting(s) || g.b.cold(s) != away {
+			t.Errorf("away %v: after %d answers it rests %v, cold %v", away, tellers, g.b.resting(s), g.b.cold(s))
+		}
+	}
+}
