Shed by the own part of the load as soon as no other sidecar is heard

With a status line a second, over all 273 sidecars:

t=7 s requests=4391 heard=186021 has=530 can=573 own=2.12 pressure=0.24 shed 0.19 t=8 s requests=10807 heard=25078 has=602 can=563 own=11.62 pressure=0.39 shed 0.34 t=9 s requests=12838 heard=0 has=29 can=540 own=10.11 pressure=0.96 shed 0.57 t=11 s requests=25004 heard=0 served=786 pressure=1.37 shed 0.92

At 7 s messages ceased while a burst came. For 1.5 s each sidecar went by the last sums told, then by its own answers, which told of the crowd when 2700 attempts were out: 4.7 to each core, where servers choke. Answer times of single servers, as a multiple of their first 6 s: median 1.1 at 6 s, 4.1 at 8 s, 5.1 at 10 s, still 1.9 at 22 s, at nearly all of 179 servers and in all zones, so it is the load and not the cut.

Ruled out: servers held to be cold by mistake (up to 120 of 179 though the list told of 11 restarts).

At fault: informed() and fleetShed() in balance/share.go, admit() in balance/balance.go. Now sums count no longer than a message should take to come (shareEvery), and from then on the others are held to have as much more than usual as this sidecar has, less what meets by chance.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,6 +109,8 @@
 	if b.informed() {
 		shed = b.fleetShed()
 		b.steady = shed
+	} else if b.deaf() {
+		shed = math.Max(shed, b.fleetShed())
 	}
 	if b.late(r) && b.steady >= r.class.LateWorth {
 		b.stats.Late++
--- a/balance/share.go
+++ b/balance/share.go
@@ -17,10 +17,12 @@
 	shareVersion = 1
 	shareHeader  = 5
 	shareEntry   = 3
-	mostMessage  = 256  // bytes, by the protocol
-	shareEvery   = 400  // ms between two messages of a sidecar
-	shareStale   = 1500 // ms after which what was told counts no more
-	manyPeers    = 8    // sidecars: fewer see enough for themselves
+	mostMessage  = 256        // bytes, by the protocol
+	shareEvery   = 400        // ms between two messages of a sidecar
+	shareStale   = 1500       // ms after which what was told counts no more
+	deafAfter    = shareEvery // ms without any message after which a sidecar goes by its own requests
+	partSpan     = 50         // requests over which its part of what all have at servers is taken
+	manyPeers    = 8          // sidecars: fewer see enough for themselves
 	answered     = 8
 	away         = 4
 	evidenceSpan = 4000 // ms after which failures at a server are forgotten
@@ -231,7 +233,10 @@
 }
 
 // informed: others tell what they have at the servers.
-func (b *Balancer) informed() bool { return b.heardAt > 0 && b.now-b.heardAt < shareStale }
+func (b *Balancer) informed() bool { return b.heardAt > 0 && b.now-b.heardAt < deafAfter }
+
+// deaf: others told something, and no more.
+func (b *Balancer) deaf() bool { return b.heardAt > 0 && !b.informed() }
 
 // able is how much a server can hold, by its size and warmth.
 func (b *Balancer) able(s *server) float64 {
@@ -248,17 +253,26 @@
 }
 
 // fleetShed is the part of the load to shed, by what all sidecars together have at the servers in use.
-// Those that hang hold ever more and have a bound to what they count.
+// Those that hang hold ever more and have a bound to what they count. Where nobody is heard any more, the
+// others are held to have as much more than usual as this sidecar, less what meets by chance: its own
+// answers tell of a crowd only when the servers are too full already.
 func (b *Balancer) fleetShed() float64 {
-	has, can := 0.0, 1e-3
+	own, has, can := 0.0, 0.0, 1e-3
 	for _, s := range b.servers {
 		if s.State != Ready || b.resting(s) || b.failing(s) {
 			continue
 		}
 		able := b.able(s)
+		own += float64(s.inFlight)
 		has += math.Min(s.elsewhere+float64(s.inFlight), 2*shedAll*able)
 		can += able
 	}
+	if b.deaf() {
+		has = math.Max(0, own-math.Sqrt(own)) * b.allHeld / math.Max(b.ownHeld, 1e-3)
+	} else {
+		b.ownHeld += (own - b.ownHeld) / partSpan
+		b.allHeld += (has - b.allHeld) / partSpan
+	}
 	b.over = has/can - shedFrom
 	return bound(b.over/(shedAll-shedFrom), 0, maxShed)
 }
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -143,6 +143,48 @@
 	}
 }
 
+// When messages ceased in a crowd, each sidecar of a large fleet trusted the last sums and then its own answers, which
+// told of the crowd only when the servers were choked. Its own requests tell sooner: it has far more of them than usual.
+func TestDeafSidecarShedsWhatIsBeyondItsUsualPart(t *testing.T) {
+	g, other := newRig(t, shareConfig(0), fleet(40)...), newRig(t, shareConfig(1), fleet(40)...)
+	for _, s := range other.b.servers[:12] {
+		s.inFlight = 1 // a third of what the servers do at once
+	}
+	var out []RequestID
+	round := func(hold int) (refused int) {
+		g.now += 20
+		for range 4 {
+			if id, acts := g.ask(safeClass); has(acts, Refuse) {
+				refused++
+			} else {
+				out = append(out, id)
+			}
+		}
+		for ; len(out) > hold; out = out[1:] {
+			g.answer(out[0], 0, OK, 20)
+		}
+		return refused
+	}
+	for range 50 {
+		other.now = g.now + 20
+		g.do(Message{From: 1, Data: other.posted()})
+		if round(1) > 0 {
+			t.Fatal("a load that all servers can do is shed")
+		}
+	}
+	g.now += deafAfter
+	calm, crowd := 0, 0
+	for range 10 {
+		calm += round(1)
+	}
+	for range 10 { // answers take longer, and none of them is late yet
+		crowd += round(8)
+	}
+	if calm > 0 || crowd < 5 {
+		t.Fatalf("deaf, %d of 40 requests refused as before and %d of 40 in a crowd", calm, crowd)
+	}
+}
+
 // Nothing that is wrong with a message may change anything.
 func TestOddMessagesAreDropped(t *testing.T) {
 	other := newRig(t, shareConfig(1), fleet(4)...)
--- a/balance/state.go
+++ b/balance/state.go
@@ -27,6 +27,8 @@
 	byTag   map[uint16]*server // by their names in messages
 	heard   map[int]*peer      // sidecars that told something
 	heardAt float64            // ... when one last did
+	ownHeld float64            // mean of this sidecar's requests at servers while others were heard
+	allHeld float64            // ... and of those of all sidecars
 	told    bool               // the last message of this one held anything
 	pool    float64            // sum of weights at the last first pick
 	kinds   map[int]float64    // learned logarithm of size by kind
