Tell only sidecars that may use the same servers, and twice as often

Tried first: telling all less often, by the number of peers (400 to 1365 ms).

At fault: share() in balance/share.go, which posts to all, and fleetShed() and mostRest(), which go by all servers though what a sidecar hears first-hand concerns few. A sidecar's number tells its place in the ring, so the sender knows whose subsets hold a server that the message names; a byte tells how far a busy sidecar's goes. Shedding goes by the servers that a sidecar is told of. shareEvery 400 to 200 ms, as each message reaches a tenth of the fleet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -343,21 +343,14 @@
 // subset is what this sidecar rotates over: over the whole fleet, connections passed the servers' caps. It
 // starts at its place in a ring, is as wide as its traffic asks for, and goes on past members that rest.
 func (b *Balancer) subset() []*server {
-	n := float64(len(b.servers))
-	each := float64(perServer)
-	if b.shares() {
-		each = perInformed
-	}
-	width := math.Max(leastWidth, each*n/float64(b.cfg.Peers))
-	width = math.Max(width, spread*b.asked.rate(b, 0, 0)*b.longestAim)
-	if width >= n {
+	width := math.Max(b.leastSubset(), spread*b.asked.rate(b, 0, 0)*b.longestAim)
+	if width >= float64(len(b.servers)) {
 		return b.servers
 	}
-	inRound := math.Ceil(float64(b.cfg.Peers) / rounds)
-	start := int(n * math.Mod(float64(b.cfg.Number/rounds)/inRound, 1))
+	ring, start := b.place(b.cfg.Number)
 	b.near = b.near[:0]
-	for i := 0; i < len(b.ring) && width > 0; i++ {
-		s := b.ring[(start+i)%len(b.ring)]
+	for i := 0; i < len(ring) && width > 0; i++ {
+		s := ring[(start+i)%len(ring)]
 		b.near = append(b.near, s)
 		if s.State == Ready && !b.resting(s) {
 			width--
@@ -366,6 +359,22 @@
 	return b.near
 }
 
+// leastSubset is how wide a subset is without any traffic.
+func (b *Balancer) leastSubset() float64 {
+	each := float64(perServer)
+	if b.shares() {
+		each = perInformed
+	}
+	return math.Max(leastWidth, each*float64(len(b.servers))/float64(b.cfg.Peers))
+}
+
+// place is where the subset of a sidecar starts: its ring and the place in it.
+func (b *Balancer) place(number int) (ring []*server, start int) {
+	inRound := math.Ceil(float64(b.cfg.Peers) / rounds)
+	start = int(float64(len(b.servers)) * math.Mod(float64(number/rounds)/inRound, 1))
+	return b.rings[number%rounds], start
+}
+
 // enter sets the weights of this pick, grows the running values and returns the sum of weights.
 func (b *Balancer) enter(pool []*server, r *request, repeat, all bool) float64 {
 	total, fresh := 0.0, false
@@ -635,7 +644,6 @@
 		}
 		// A random start keeps sidecars that begin together from choosing in step.
 		s = &server{running: 100 * b.random(), coldSince: math.Inf(-1)}
-		s.place = mix(uint64(entry.ID) + mix(uint64(b.cfg.Number%rounds)+1))
 		b.byID[entry.ID] = s
 		b.servers = append(b.servers, s)
 	}
--- a/balance/share.go
+++ b/balance/share.go
@@ -9,20 +9,22 @@
 // it learns too late which servers fail and how full they are. Where nothing is heard, all goes by the
 // sidecar's own requests.
 //
-// A message, big-endian: u8 the version, u32 the sender's clock in milliseconds modulo 2^32, then for each
-// server at which the sender has requests or that failed or came back since its last message: u16 its tag
-// (see tagOf), u8 the sender's requests at it now (high four bits), whether it answered (bit 3), whether
-// it could not be reached (bit 2) and how often it failed (low two bits).
+// A message, big-endian: u8 the version, u32 the sender's clock in milliseconds modulo 2^32, u8 how many
+// servers it rotates over, then for each server at which the sender has requests, or that failed or came
+// back since its last message: u16 its tag (see tagOf), u8 the sender's requests at it now (high four
+// bits), whether it answered (bit 3), whether it could not be reached (bit 2) and how often it failed (low
+// two bits).
 const (
-	shareVersion = 1
-	shareHeader  = 5
+	shareVersion = 2
+	shareHeader  = 6
 	shareEntry   = 3
-	mostMessage  = 256        // bytes, by the protocol
-	shareEvery   = 400        // ms between two messages of a sidecar
-	shareStale   = 1500       // ms after which what was told counts no more
-	deafAfter    = shareEvery // ms without any message after which a sidecar goes by its own requests
-	partSpan     = 50         // requests over which its part of what all have at servers is taken
-	manyPeers    = 8          // sidecars: fewer see enough for themselves
+	mostMessage  = 256  // bytes, by the protocol
+	shareEvery   = 200  // ms between two messages of a sidecar
+	shareBeyond  = 2    // times its least subset that a sidecar is told of: some of it may rest
+	shareStale   = 1500 // ms after which what was told counts no more
+	deafAfter    = 400  // ms without any message after which a sidecar goes by its own requests
+	partSpan     = 50   // requests over which its part of what all have at servers is taken
+	manyPeers    = 8    // sidecars: fewer see enough for themselves
 	answered     = 8
 	away         = 4
 	evidenceSpan = 4000 // ms after which failures at a server are forgotten
@@ -55,6 +57,7 @@
 type peer struct {
 	stamp uint32
 	at    float64
+	reach int // how many servers it rotates over
 	held  []held
 }
 
@@ -88,12 +91,18 @@
 	}
 }
 
-// share tells the others what this sidecar has at servers, and what came of it since the last time.
+// share tells others what this sidecar has at servers, and what came of it since the last time. Only those
+// are told that may use one of these servers: each message costs its receiver something, and what is told
+// of other servers tells it nothing.
 func (b *Balancer) share() {
 	b.forgetSilent()
 	data := binary.BigEndian.AppendUint32([]byte{shareVersion}, b.stamp())
+	data = append(data, uint8(min(len(b.subset()), math.MaxUint8)))
 	for _, s := range b.servers {
-		if s.inFlight == 0 && s.news == (news{}) || len(data)+shareEntry > mostMessage {
+		before := s.told // else what was told last time would stand
+		s.told = (s.inFlight > 0 || s.news != (news{})) && len(data)+shareEntry <= mostMessage
+		s.concerned = before || s.told
+		if !s.told {
 			continue
 		}
 		entry := uint8(min(s.inFlight, 15))<<4 | uint8(math.Min(s.news.failed, away-1))
@@ -106,13 +115,55 @@
 		data = append(binary.BigEndian.AppendUint16(data, tagOf(s.ID)), entry)
 		s.news = news{}
 	}
-	if told := len(data) > shareHeader; told || b.told { // an empty one takes back the one before
-		b.told = told
-		b.emit(Action{Kind: Post, Peer: -1, Data: data})
-	}
+	b.post(data)
 	b.shareLater()
 }
 
+// post sends a message to the sidecars that may use one of the servers concerned.
+func (b *Balancer) post(data []byte) {
+	first := len(b.out)
+	for n := range b.cfg.Peers {
+		if n != b.cfg.Number && b.concerns(n) {
+			b.emit(Action{Kind: Post, Peer: n, Data: data})
+		}
+	}
+	if len(b.out)-first == b.cfg.Peers-1 {
+		b.out = append(b.out[:first], Action{Kind: Post, Peer: -1, Data: data})
+	}
+}
+
+// concerns: a sidecar may use one of the servers concerned, by its place in the ring.
+func (b *Balancer) concerns(number int) bool {
+	reach := b.reach()
+	if p := b.heard[number]; p != nil {
+		reach = max(reach, p.reach)
+	}
+	ring, start := b.place(number)
+	for i := range min(reach, len(ring)) {
+		if ring[(start+i)%len(ring)].concerned {
+			return true
+		}
+	}
+	return false
+}
+
+// reach is how far from its place in the ring a sidecar is told of servers at the least.
+func (b *Balancer) reach() int { return shareBeyond * int(math.Ceil(b.leastSubset())) }
+
+// around is the servers that this sidecar is told of.
+func (b *Balancer) around() []*server {
+	reach := max(b.reach(), len(b.subset()))
+	if reach >= len(b.servers) {
+		return b.servers
+	}
+	ring, start := b.place(b.cfg.Number)
+	b.told = b.told[:0]
+	for i := range reach {
+		b.told = append(b.told, ring[(start+i)%len(ring)])
+	}
+	return b.told
+}
+
 func (b *Balancer) stamp() uint32 { return uint32(uint64(b.now)) }
 
 // forgetSilent takes back what sidecars told that have not been heard for long: they may be gone.
@@ -158,7 +209,7 @@
 		p = &peer{}
 		b.heard[ev.From] = p
 	}
-	p.stamp, p.at, b.heardAt = sent, b.now, b.now
+	p.stamp, p.at, p.reach, b.heardAt = sent, b.now, int(d[shareHeader-1]), b.now
 	b.stats.Heard++
 	var now []held
 	for d = d[shareHeader:]; len(d) > 0; d = d[shareEntry:] {
@@ -223,13 +274,13 @@
 
 // mostRest: where half of the servers rest, what fails is hardly single servers.
 func (b *Balancer) mostRest() bool {
-	n := 0
-	for _, s := range b.servers {
+	n, around := 0, b.around()
+	for _, s := range around {
 		if b.resting(s) {
 			n++
 		}
 	}
-	return 2*n >= len(b.servers)
+	return 2*n >= len(around)
 }
 
 // informed: others tell what they have at the servers.
@@ -258,7 +309,7 @@
 // answers tell of a crowd only when the servers are too full already.
 func (b *Balancer) fleetShed() float64 {
 	own, has, can := 0.0, 0.0, 1e-3
-	for _, s := range b.servers {
+	for _, s := range b.around() {
 		if s.State != Ready || b.resting(s) || b.failing(s) {
 			continue
 		}
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -185,6 +185,80 @@
 	}
 }
 
+// Of 300 sidecars each heard all others, few of which used a server that it used, and paid for every message. Those that
+// rotate over a server that a message names get it, and those that heard the one before and would keep what it told.
+func TestOnlyThoseWhoShareServersAreTold(t *testing.T) {
+	const peers = 300
+	config := func(n int) Config {
+		cfg := shareConfig(n)
+		cfg.Peers = peers
+		return cfg
+	}
+	g := newRig(t, config(0), fleet(200)...)
+	busy := g.b.subset()[1]
+	told := func() map[int]bool {
+		to := map[int]bool{}
+		for _, a := range g.do(Timer{Token: shareTimer}) {
+			if a.Kind == Post {
+				to[a.Peer] = true
+			}
+		}
+		return to
+	}
+	busy.inFlight = 1
+	first := told()
+	for n := 1; n < peers; n++ {
+		uses := false
+		for _, s := range newRig(t, config(n), fleet(200)...).b.subset() {
+			uses = uses || s.ID == busy.ID
+		}
+		if uses && !first[n] {
+			t.Errorf("sidecar %d uses the server and is not told", n)
+		}
+	}
+	if len(first) == 0 || len(first) > peers/10 || first[-1] || first[0] {
+		t.Errorf("%d of %d are told of one server", len(first), peers)
+	}
+	busy.inFlight = 0
+	if second := told(); len(second) != len(first) {
+		t.Errorf("%d told of a request, %d of its end", len(first), len(second))
+	}
+	if third := told(); len(third) > 0 {
+		t.Errorf("%d told of nothing", len(third))
+	}
+}
+
+// One that uses more servers than others, as it is busy or some rest, is told of those too once it has said so.
+func TestBusySidecarsAreToldOfMoreServers(t *testing.T) {
+	cfg := shareConfig(0)
+	cfg.Peers = 300
+	g := newRig(t, cfg, fleet(200)...)
+	ring, start := g.b.place(9)
+	far := ring[(start+g.b.reach()+3)%len(ring)]
+	far.inFlight = 1
+	tells := func() bool {
+		for _, a := range g.do(Timer{Token: shareTimer}) {
+			if a.Kind == Post && a.Peer == 9 {
+				return true
+			}
+		}
+		return false
+	}
+	before := tells()
+	cfg.Number = 9
+	other := newRig(t, cfg, fleet(200)...)
+	for range 3 {
+		for _, s := range other.b.subset() {
+			s.restUntil = other.now + 1000
+		}
+	}
+	other.b.servers[0].inFlight = 1
+	g.do(Message{From: 9, Data: other.posted()})
+	if after := tells(); before || !after {
+		t.Fatalf("told of a far server: before it was used %v, then %v", before, after)
+	}
+}
+
 // Nothing that is wrong with a message may change anything.
 func TestOddMessagesAreDropped(t *testing.T) {
 	other := newRig(t, shareConfig(1), fleet(4)...)
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,16 +20,16 @@
 	longestAim float64 // of all classes
 	out        []Action
 
-	servers []*server // those listed, in order of ID
-	ring    []*server // ... in the order of this sidecar's round; see subset
-	near    []*server // the present subset
+	servers []*server         // those listed, in order of ID
+	rings   [rounds][]*server // ... in the order of each round of sidecars; see subset
+	near    []*server         // the present subset
 	byID    map[ServerID]*server
 	byTag   map[uint16]*server // by their names in messages
 	heard   map[int]*peer      // sidecars that told something
 	heardAt float64            // ... when one last did
 	ownHeld float64            // mean of this sidecar's requests at servers while others were heard
 	allHeld float64            // ... and of those of all sidecars
-	told    bool               // the last message of this one held anything
+	told    []*server          // servers that it is told of
 	pool    float64            // sum of weights at the last first pick
 	kinds   map[int]float64    // learned logarithm of size by kind
 	zones   map[int]float64    // ... and by zone
@@ -83,7 +83,6 @@
 // server is what this sidecar knows of one server.
 type server struct {
 	Server
-	place    uint64  // in the ring
 	running  float64 // SWRR running value
 	weight   float64 // in the current pick; 0: not in it
 	known    bool    // in the current pick: what it holds is known as well as can be
@@ -103,6 +102,8 @@
 	evidence  evidence
 	news      news
 	elsewhere float64 // other sidecars' requests at it, as they told
+	told      bool    // the last message named it
+	concerned bool    // the present message or the last one names it
 
 	coldSince float64 // start of its warm-up
 	tokens    float64 // sends left in the cold budget
@@ -375,9 +376,19 @@
 	}
 	b.servers = kept
 	sort.Slice(kept, func(i, j int) bool { return kept[i].ID < kept[j].ID })
-	b.ring = append(b.ring[:0], kept...)
 	b.tagServers()
-	sort.SliceStable(b.ring, func(i, j int) bool { return b.ring[i].place < b.ring[j].place })
+	for r := range b.rings {
+		if r == b.cfg.Number%rounds || b.shares() { // else nobody needs those of others
+			b.rings[r] = ringOf(append(b.rings[r][:0], kept...), r)
+		}
+	}
+}
+
+// ringOf puts servers in the order of a round, which is another in each.
+func ringOf(ring []*server, round int) []*server {
+	salt := mix(uint64(round) + 1)
+	sort.SliceStable(ring, func(i, j int) bool { return mix(uint64(ring[i].ID)+salt) < mix(uint64(ring[j].ID)+salt) })
+	return ring
 }
 
 // time follows how long answers take, as a part of their aim, and the least it has been.
