Send messages as soon as something changed, and only to those it concerns

Most of a message was nothing new: it named all servers at which there are requests, to all sidecars that use any of them, at each turn.

At fault: share() in balance/share.go. Now a turn comes every 50 ms, only those are told that use a server at which something changed, and what stands is told again every 500 ms, as messages may be lost. Each message still holds all, so one that is lost or late leaves nothing behind. The time for which hearsay keeps a server rested was a multiple of shareEvery and is now a constant of its own (restOn), with the value that it had.

--- a/balance/share.go
+++ b/balance/share.go
@@ -19,7 +19,9 @@
 	shareHeader  = 6
 	shareEntry   = 3
 	mostMessage  = 256  // bytes, by the protocol
-	shareEvery   = 100  // ms between two messages of a sidecar
+	shareEvery   = 50   // ms between two messages of a sidecar, where there is news
+	shareAgain   = 500  // ms after which what stands is told again, as messages get lost
+	restOn       = 800  // ms at most for which a server rests on, told that it failed others again
 	shareBeyond  = 2    // times its least subset that a sidecar is told of: some of it may rest
 	shareStale   = 1500 // ms after which what was told counts no more
 	deafAfter    = 400  // ms without any message after which a sidecar goes by its own requests
@@ -92,20 +94,25 @@
 }
 
 // share tells others what this sidecar has at servers, and what came of it since the last time. Only those
-// are told that may use one of these servers: each message costs its receiver something, and what is told
-// of other servers tells it nothing.
+// are told that may use a server of which there is news: each message costs its receiver something, and what
+// is told of other servers tells it nothing. What stands is told again from time to time.
 func (b *Balancer) share() {
 	b.forgetSilent()
 	data := binary.BigEndian.AppendUint32([]byte{shareVersion}, b.stamp())
 	data = append(data, uint8(min(len(b.subset()), math.MaxUint8)))
+	again := b.now >= b.tellAgain
+	if again {
+		b.tellAgain = b.now + shareAgain
+	}
 	for _, s := range b.servers {
-		before := s.told // else what was told last time would stand
-		s.told = (s.inFlight > 0 || s.news != (news{})) && len(data)+shareEntry <= mostMessage
-		s.concerned = before || s.told
-		if !s.told {
+		held := min(s.inFlight, 15)
+		s.concerned = held != s.told || s.news != (news{}) || again && held > 0
+		s.told = 0
+		if held == 0 && s.news == (news{}) || len(data)+shareEntry > mostMessage {
 			continue
 		}
-		entry := uint8(min(s.inFlight, 15))<<4 | uint8(math.Min(s.news.failed, away-1))
+		s.told = held
+		entry := uint8(held)<<4 | uint8(math.Min(s.news.failed, away-1))
 		if s.news.answered {
 			entry |= answered
 		}
@@ -253,7 +260,7 @@
 	switch failing := b.failing(s); {
 	case !others:
 	case failing && n.failed > 0 && b.resting(s):
-		s.restUntil = math.Max(s.restUntil, b.now+shareEvery*(2+6*b.random()))
+		s.restUntil = math.Max(s.restUntil, b.now+restOn*(0.25+0.75*b.random()))
 	case failing && n.failed > 0 && !b.mostRest():
 		b.rest(s)
 	case !failing && n.answered && b.resting(s):
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -228,6 +228,22 @@
 	}
 }
 
+// What has not changed is no news, but messages get lost: it is told again, after a while and not at each turn.
+func TestWhatStandsIsToldAgainAfterAWhile(t *testing.T) {
+	g := newRig(t, shareConfig(0), fleet(8)...)
+	g.b.servers[2].inFlight = 3
+	first, times, last := g.posted(), 0, []byte(nil)
+	for range 20 {
+		g.now += shareAgain / 10
+		if data := g.posted(); data != nil {
+			times, last = times+1, data
+		}
+	}
+	if first == nil || times < 1 || times > 2 || !bytes.Equal(first[shareHeader:], last[shareHeader:]) {
+		t.Fatalf("told %v, then %d times in 20 turns, last %v", first, times, last)
+	}
+}
+
 // One that uses more servers than others, as it is busy or some rest, is told of those too once it has said so.
 func TestBusySidecarsAreToldOfMoreServers(t *testing.T) {
 	cfg := shareConfig(0)
@@ -254,6 +270,7 @@
 	}
 	other.b.servers[0].inFlight = 1
 	g.do(Message{From: 9, Data: other.posted()})
+	far.inFlight = 2
 	if after := tells(); before || !after {
 		t.Fatalf("told of a far server: before it was used %v, then %v", before, after)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -30,12 +30,14 @@
 	ownHeld float64            // mean of this sidecar's requests at servers while others were heard
 	allHeld float64            // ... and of those of all sidecars
 	told    []*server          // servers that it is told of
-	pool    float64            // sum of weights at the last first pick
-	kinds   map[int]float64    // learned logarithm of size by kind
-	zones   map[int]float64    // ... and by zone
-	learned float64            // times learn was called
-	drift   float64            // mean step of learn
-	asks    int                // failed list calls in a row
+
+	tellAgain float64         // when all that stands is told again
+	pool      float64         // sum of weights at the last first pick
+	kinds     map[int]float64 // learned logarithm of size by kind
+	zones     map[int]float64 // ... and by zone
+	learned   float64         // times learn was called
+	drift     float64         // mean step of learn
+	asks      int             // failed list calls in a row
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
@@ -102,8 +104,8 @@
 	evidence  evidence
 	news      news
 	elsewhere float64 // other sidecars' requests at it, as they told
-	told      bool    // the last message named it
-	concerned bool    // the present message or the last one names it
+	told      int     // what this one's last message said that it has there
+	concerned bool    // there is news of it for the others
 
 	coldSince float64 // start of its warm-up
 	tokens    float64 // sends left in the cold budget
