Make the first call to discovery within the time after which a sidecar counts as told

The list had said at 9.91 s that nine servers were gone. Of 306 sidecars 61 were killed with their zone and came back near 11 s ("msg=serving" 367 times, their status lines at 16 and 21 s with servers.known=183, the list from before); 9.91 s and the 10 s of ask_within_ms are 19.91 s, with the grace of 1.5 s 21.41 s.

At fault: Start() in balance/balance.go spreads first calls over askTurn (60 ms) for each sidecar without any bound, 18 s with 306 of them. Only askAgain() held to half of AskWithin; the bound is now in askWithin(), which both go through.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -668,16 +668,17 @@
 func (b *Balancer) askAgain() {
 	span := math.Max(askPause, askTurn*float64(b.cfg.Peers))
 	span *= float64(int(1) << min(b.asks, 4))
-	if b.cfg.AskWithin > 0 { // the limit on sidecars that are not subscribed
-		span = math.Min(span, b.cfg.AskWithin/2)
-	}
 	b.asks++
 	b.askWithin(span)
 }
 
 // askWithin calls at a random moment: calls made in step wait for each other, fail, and are made again
-// in step. Its random numbers are its own: requests go the same ways whenever discovery is called.
+// in step. Its random numbers are its own: requests go the same ways whenever discovery is called. However
+// many sidecars there are, one that has not asked for long counts as told of what it never heard.
 func (b *Balancer) askWithin(span float64) {
+	if b.cfg.AskWithin > 0 {
+		span = math.Min(span, b.cfg.AskWithin/2)
+	}
 	own := Balancer{rng: b.cfg.Seed ^ uint64(listTimer+b.asks)}
 	b.emit(Action{Kind: SetTimer, Token: listTimer, At: span * own.random()})
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -302,6 +302,21 @@
 	}
 }
 
+// 300 sidecars spread their first calls over 18 s, and some sent to a server that had gone 11 s before: whoever has not
+// asked for AskWithin counts as told.
+func TestFirstCallComesInTimeInLargeFleets(t *testing.T) {
+	latest := 0.0
+	for i := range 300 {
+		cfg := baseConfig()
+		cfg.Subscribe, cfg.Seed, cfg.Peers, cfg.Number = true, uint64(i), 300, i
+		g := newRig(t, cfg, fleet(3)...)
+		latest = math.Max(latest, g.nextCall(g.acts)-g.now)
+	}
+	if within := baseConfig().AskWithin; latest >= within || latest < within/10 {
+		t.Fatalf("the last of 300 sidecars asks %.0f ms after its start, %.0f are allowed", latest, within)
+	}
+}
+
 // nextCall is when the sidecar calls discovery, by what it has just asked for.
 func (g *rig) nextCall(acts []Action) float64 {
 	for _, a := range acts {
