Watch the list also where the settings say that it is pushed

At fault: `Start` in balance/balance.go asks for a list only where `Subscribe` is set, and `ParseProfile` in internal/wire/settings.go set it only for "subscribe". "automatic" brings changes by themselves on the simulator's wire, but on sockets they come on a watch of the agent; nothing opened one. Such an agent serves one sidecar, what it has counts as told at once, so it is asked at once, and after a failure again within a part of the drain grace.

--- a/balance/api.go
+++ b/balance/api.go
@@ -88,6 +88,7 @@
 	Quantum        float64 // least time between two batches of events
 
 	Subscribe bool      // the server list must be asked for
+	Agent     bool      // ... from an agent of this sidecar alone, whose news counts as told at once
 	Reports   ReportVia // how load reports come
 	Fields    []Field   // what they hold, in order
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,13 +54,15 @@
 	mostHold     = 0.25 // ... and at most: else its later try is too late
 	askPause     = 500  // ms within which a failed list call is made again at the least; doubles each time
 	askTurn      = 60   // ms of discovery's time for a call, at the most that was seen
+	leastPause   = 20   // ms between two calls to an agent at the least
+	agentCalls   = 4    // calls to an agent within the time that the drain rule leaves, at the least
 )
 
 // Start begins the balancer's life. The actions are valid until the next call.
 func (b *Balancer) Start(now float64) []Action {
 	b.now, b.started, b.out = now, now, b.out[:0]
 	if b.cfg.Subscribe {
-		b.askWithin(askTurn * float64(b.cfg.Peers)) // all sidecars may have been started together
+		b.askWithin(b.askSpan()) // all sidecars may have been started together
 	}
 	b.shareLater()
 	return b.out
@@ -666,10 +668,19 @@
 
 // askAgain calls again within a growing time, in which discovery can answer all sidecars: they fail together.
 func (b *Balancer) askAgain() {
-	span := math.Max(askPause, askTurn*float64(b.cfg.Peers))
-	span *= float64(int(1) << min(b.asks, 4))
-	b.asks++
-	b.askWithin(span)
+	if b.asks++; b.cfg.Agent {
+		b.askWithin(bound(b.cfg.DrainGrace/agentCalls, leastPause, askPause))
+		return
+	}
+	b.askWithin(math.Max(askPause, b.askSpan()) * float64(int(1)<<min(b.asks-1, 4)))
+}
+
+// askSpan is the time in which discovery can answer all sidecars. An agent answers just one.
+func (b *Balancer) askSpan() float64 {
+	if b.cfg.Agent {
+		return 0
+	}
+	return askTurn * float64(b.cfg.Peers)
 }
 
 // askWithin calls at a random moment: calls made in step wait for each other, fail, and are made again
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -414,3 +414,24 @@
 		}
 	}
 }
+
+// An agent's news counts as told at once: it is asked at the start, and after a failed call again before what it has
+// must be obeyed, however many sidecars there are and however often it failed.
+func TestAnAgentIsAskedAtOnce(t *testing.T) {
+	for grace, most := range map[float64]float64{0: 1000, 300: 300, 5000: 1000} {
+		cfg := baseConfig()
+		cfg.Subscribe, cfg.Agent, cfg.Peers, cfg.DrainGrace = true, true, 300, grace
+		g := newRig(t, cfg, fleet(3)...)
+		if due := g.nextCall(g.acts); due != g.now {
+			t.Fatalf("first asked %v ms after the start", due-g.now)
+		}
+		for range 9 {
+			g.do(Timer{Token: listTimer})
+			due := g.nextCall(g.do(ServerList{Kind: ListFailed}))
+			if due > g.now+most {
+				t.Fatalf("grace %v: asked again only after %v ms", grace, due-g.now)
+			}
+			g.now = due
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -106,11 +106,13 @@
 
 // ParseProfile reads the settings for a sidecar on sockets.
 func ParseProfile(seed uint64, profile []byte) (Profile, error) {
-	var s settings
-	if err := json.Unmarshal(profile, &s); err != nil {
-		return Profile{}, fmt.Errorf("settings: %w", err)
+	s, err := parse(profile)
+	if err != nil {
+		return Profile{}, err
 	}
 	cfg, err := s.config(seed)
+	// On sockets all news comes on a watch. Where lists are pushed, it is a watch of the sidecar's own agent.
+	cfg.Subscribe, cfg.Agent = true, !cfg.Subscribe
 	p := Profile{Config: cfg, Zones: s.Zones, Kinds: s.Kinds, Fields: s.Report.Fields, ConnIdle: s.Limits.ConnIdle}
 	for i := range s.Classes {
 		p.Classes = append(p.Classes, s.Classes[i].Name)
@@ -123,8 +125,18 @@
 
 // ParseSettings turns the profile of a Begin into a Config.
 func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
-	p, err := ParseProfile(seed, profile)
-	return p.Config, err
+	s, err := parse(profile)
+	if err != nil {
+		return balance.Config{}, err
+	}
+	return s.config(seed)
+}
+
+func parse(profile []byte) (s settings, err error) {
+	if err := json.Unmarshal(profile, &s); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	return s, nil
 }
 
 func (s *settings) config(seed uint64) (balance.Config, error) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -156,6 +156,9 @@
 	if want := (balance.Goal{Whole: 0.4, WorstWindow: 0.3, WorstClass: 0.2, WorstTenant: 0.1}); cfg.Goal != want {
 		t.Errorf("goal %+v", cfg.Goal)
 	}
+	if cfg.Agent {
+		t.Error("the simulator's discovery is no agent")
+	}
 	want := balance.Prices{CrossZone: 1, Waste: 2, Handshake: 3, Probe: 4, Peer: 5, LateFail: 6}
 	if cfg.Prices != want {
 		t.Errorf("prices %+v", cfg.Prices)
@@ -179,6 +182,20 @@
 	}
 }
 
+// On sockets news comes on a watch only, also where the settings say that lists come by themselves.
+func TestListsOnSockets(t *testing.T) {
+	for discovery, agent := range map[string]bool{"": true, "automatic": true, "subscribe": false} {
+		settings := []byte(`{"classes": [{"effect": "read_like", "hard_limit_ms": 1500}], "discovery": "` + discovery + `"}`)
+		p, err := ParseProfile(9, settings)
+		if err != nil || !p.Config.Subscribe || p.Config.Agent != agent {
+			t.Errorf("%q on sockets: %+v, %v", discovery, p.Config, err)
+		}
+		if cfg, err := ParseSettings(9, settings); err != nil || cfg.Subscribe == agent || cfg.Agent {
+			t.Errorf("%q on the simulator's wire: %+v, %v", discovery, cfg, err)
+		}
+	}
+}
+
 // The seed corpus runs in CI as an ordinary test.
 func FuzzReader(f *testing.F) {
 	for _, frame := range []string{emptyFrame, eventsFrame, listFrame, endedFrame, eventsFrame + listFrame} {
