Take lists that come indented on a watch, and count only whole messages against silence

A watch with an indented list ended at once with "watch: catalog: unexpected end of JSON input", was opened again and ended again; the sidecar went on with the list it was started with. A small probe (the test, with an indented message written by a peer) shows it each time.

At fault: `watch` in internal/sidecar/discovery.go took each line for a message (`bufio.Scanner`). And any line reset the time for silence, so half a message followed by empty lines could hold a dead watch open.

Ruled out: `fetch` reads the whole body and takes indented lists.

Now: a decoder takes whole messages however many lines they have; an empty line between messages or the end of a message shows that the watch is alive, a part of one does not; each message has its bound of 4 MiB still. Old behaviour of the other cases of TestWatchEnds unchanged.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -1,7 +1,7 @@
 package sidecar
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -127,21 +127,49 @@
 		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 1<<16), maxCatalog)
-	for lines.Scan() {
-		silent.Reset(d.silence)
-		if len(lines.Bytes()) == 0 {
-			continue
+	in := &pulse{Reader: body, alive: func() { silent.Reset(d.silence) }}
+	in.next(nil)
+	for messages := json.NewDecoder(in); ; {
+		var raw json.RawMessage
+		if err := messages.Decode(&raw); err != nil { // io.EOF where the watch ended between two messages
+			return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 		}
-		c, err := parseCatalog(lines.Bytes())
+		in.next(messages.Buffered())
+		c, err := parseCatalog(raw)
 		if err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
 		tell(c)
 	}
-	if err := errors.Join(lines.Err(), context.Cause(ctx)); err != nil {
-		return fmt.Errorf("watch: %w", err)
+}
+
+// pulse is the body of a watch. What comes between messages, an empty line every 2 s, shows that the watch is alive; so
+// does the end of a message, which may take many lines, but not a part of one: it may never be whole.
+type pulse struct {
+	io.Reader
+	alive  func()
+	within bool // a message has begun
+	left   int  // bytes that may still come of it
+}
+
+func (p *pulse) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, errors.New("a message that does not end")
+	}
+	n, err := p.Reader.Read(b[:min(len(b), p.left)])
+	p.left -= n
+	if p.within = p.within || len(bytes.TrimSpace(b[:n])) > 0; !p.within && n > 0 {
+		p.next(nil)
+	}
+	return n, err
+}
+
+// next awaits a new message, of which a part may have been read.
+func (p *pulse) next(read io.Reader) {
+	p.within, p.left = false, maxCatalog
+	if read != nil {
+		begun, _ := io.ReadAll(read) // of a buffer: it cannot fail
+		p.within = len(bytes.TrimSpace(begun)) > 0
 	}
-	return errors.New("watch: ended")
+	p.alive()
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +15,10 @@
 // However a watch goes wrong, it ends with an error, and what came before was told.
 func TestWatchEnds(t *testing.T) {
 	list := catalog(7, true, instance("s", "127.0.0.1:1", "up"))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(list), "", "  "); err != nil {
+		t.Fatal(err)
+	}
 	for name, c := range map[string]struct {
 		answer string
 		stays  bool
@@ -21,6 +27,8 @@
 		"refused":         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false, 0},
 		"ended":           {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n\n", false, 1},
 		"silent":          {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n", true, 1},
+		"indented":        {"HTTP/1.1 200 OK\r\n\r\n\n" + indented.String() + "\n\n" + indented.String() + "\n", false, 2},
+		"half a message":  {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n" + list[:20] + "\n\n\n", true, 1},
 		"no JSON":         {"HTTP/1.1 200 OK\r\n\r\n" + list + "\n{", false, 1},
 		"another object":  {"HTTP/1.1 200 OK\r\n\r\n{}\n", false, 0},
 		"unknown state":   {"HTTP/1.1 200 OK\r\n\r\n" + strings.Replace(list, `"up"`, `"odd"`, 1) + "\n", false, 0},
