Open a silent watch anew in time for the 6 s, and call discovery once where it has moved

Seen, by reading and counted in the tests: a watch that fell silent was given up after 3.5 s, the next call was made after a pause meant for failed calls, and waited 4 s for an answer. With 8 sidecars and a next call that stays silent too, the call that can tell anything was made 8.6 to 9.4 s after the watch's last word (7.9 s where it gave its head and no body): news counts as told after 6 s. And at SIGHUP a sidecar opened a watch at once, but the timer of a call to be made again still came due and ended that watch for another call.

At fault: `watchSilence`, `callTimeout` in internal/sidecar/discovery.go; `askAgain` in balance/balance.go, which knew failed calls only; `Reload` in internal/sidecar/loop.go, which called discovery past the module.

Now: silence is noticed 0.5 s after an empty line was due, and is an event of its own, after which discovery is called within its turns and without the pause for failures; the module says how long a call waits, 1.2 s at first and longer after each that failed, since a slow discovery must get to answer; once an answer has begun, silence counts instead. That discovery has moved is an event of the module, which calls at once and drops the timer that stands.

Ruled out: that each delta resets the pause (`asks`) is right: it shows that the watch works. A call that may wait is not made. With hundreds of sidecars the turns of discovery (60 ms each) outlast the 6 s; nothing here shortens those.

--- a/balance/api.go
+++ b/balance/api.go
@@ -162,6 +162,8 @@
 	ListCached                 // everything there was when last seen
 	ListDelta                  // changed entries only
 	ListFailed                 // a call failed, or the subscription ended; nothing else changed
+	ListSilent                 // ... or nothing came on it for too long
+	ListMoved                  // the list is to be had elsewhere now; nothing else changed
 )
 
 // ServerList is news from discovery. Servers is not kept.
@@ -270,7 +272,7 @@
 	CloseIdle                   // Server
 	Post                        // Peer (-1: all), Data
 	Log                         // Text
-	Watch                       // subscribe to the server list
+	Watch                       // subscribe to the server list, At: how long to wait for an answer
 	Fetch                       // ask for the whole list once
 )
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,6 +54,8 @@
 	mostHold     = 0.25 // ... and at most: else its later try is too late
 	askPause     = 500  // ms within which a failed list call is made again at the least; doubles each time
 	askTurn      = 60   // ms of discovery's time for a call, at the most that was seen
+	leastCall    = 1200 // ms to wait for discovery's answer at first: time is left for another call
+	mostCall     = 3500 // ... and at most: it gives calls up itself after 3 s
 	leastPause   = 20   // ms between two calls to an agent at the least
 	agentCalls   = 4    // calls to an agent within the time that the drain rule leaves, at the least
 )
@@ -68,8 +70,13 @@
 	return b.out
 }
 
-// ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists.
-func (b *Balancer) ask() { b.emit(Action{Kind: Watch}) }
+// ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists. The
+// next answer is awaited for longer where one did not come: discovery may just be slow.
+func (b *Balancer) ask() {
+	b.asking = true
+	wait := math.Max(leastCall, b.askSpan()) * float64(int(1)<<min(b.asks, 4))
+	b.emit(Action{Kind: Watch, At: math.Min(wait, mostCall)})
+}
 
 func (b *Balancer) onRequest(ev Request) error {
 	if ev.Class < 0 || ev.Class >= len(b.cfg.Classes) {
@@ -627,6 +634,13 @@
 	case ListFailed:
 		b.askAgain()
 		return
+	case ListSilent: // what is missed counts as told some seconds later: they are needed for the next call
+		b.asking = false
+		b.askWithin(b.askSpan())
+		return
+	case ListMoved:
+		b.ask()
+		return
 	case ListFull, ListCached:
 		b.markUnlisted(ev.Servers)
 	}
@@ -668,6 +682,7 @@
 
 // askAgain calls again within a growing time, in which discovery can answer all sidecars: they fail together.
 func (b *Balancer) askAgain() {
+	b.asking = false
 	if b.asks++; b.cfg.Agent {
 		b.askWithin(bound(b.cfg.DrainGrace/agentCalls, leastPause, askPause))
 		return
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -258,6 +258,34 @@
 	}
 }
 
+// Discovery that has moved is asked at once, whether a call is out, answered or about to be made again, and not once more
+// when the timer of the latter comes due: that would end a watch that is well.
+func TestDiscoveryThatMovesIsAskedOnce(t *testing.T) {
+	for name, before := range map[string][]Event{
+		"before the first call": nil,
+		"with a call out":       {Timer{Token: listTimer}},
+		"subscribed":            {Timer{Token: listTimer}, ServerList{Kind: ListDelta}},
+		"after a failed call":   {Timer{Token: listTimer}, ServerList{Kind: ListFailed}},
+		"after silence":         {Timer{Token: listTimer}, ServerList{Kind: ListSilent}},
+	} {
+		cfg := baseConfig()
+		cfg.Subscribe = true
+		g := newRig(t, cfg, fleet(3)...)
+		for _, ev := range before {
+			g.do(ev)
+		}
+		if !has(g.do(ServerList{Kind: ListMoved}), Watch) {
+			t.Errorf("%s: not asked", name)
+		}
+		if has(g.do(Timer{Token: listTimer}), Watch) {
+			t.Errorf("%s: asked once more", name)
+		}
+		if !has(g.do(ServerList{Kind: ListMoved}), Watch) {
+			t.Errorf("%s: not asked where it is now", name)
+		}
+	}
+}
+
 // 80 sidecars started together called discovery at once and again in step after each failure; it takes calls in turn,
 // also those that have waited too long and failed, and for ten seconds hardly any got a list.
 func TestCallsOfManySidecarsDoNotMeet(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,6 +38,7 @@
 	learned   float64         // times learn was called
 	drift     float64         // mean step of learn
 	asks      int             // failed list calls in a row
+	asking    bool            // subscribed, or about to be
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
@@ -321,7 +322,9 @@
 
 func (b *Balancer) onTimer(ev Timer) {
 	if ev.Token == listTimer {
-		b.ask()
+		if !b.asking { // else it has moved in between
+			b.ask()
+		}
 	} else if ev.Token == shareTimer {
 		b.share()
 	} else if r := b.reqs[RequestID(ev.Token)]; r != nil {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,8 +18,8 @@
 	maxCatalog = 4 << 20 // bytes of one message of discovery
 	// An empty line comes every 2 s. A watch that is silent for longer than this is dead: what it should have
 	// told counts as told after 6 s, and the next call takes its time.
-	watchSilence = 3500 * time.Millisecond
-	callTimeout  = 4 * time.Second // discovery answers late, but gives a call up after 3 s itself
+	watchSilence = 2500 * time.Millisecond
+	callTimeout  = 4 * time.Second // of a fetch: discovery answers late, but gives a call up after 3 s itself
 )
 
 // Catalog is one message of discovery: the whole list, or what has changed.
@@ -116,17 +116,24 @@
 	return parseCatalog(raw)
 }
 
-// watch hands each message to tell until the watch ends, breaks, talks nonsense or falls silent.
-func (d *discovery) watch(ctx context.Context, after uint64, tell func(Catalog)) error {
+// errSilent ends a watch of which nothing was heard for too long.
+var errSilent = errors.New("silent")
+
+// watch hands each message to tell until the watch ends, breaks, talks nonsense or falls silent. Its answer must begin
+// within a time; from then on, silence is what counts.
+func (d *discovery) watch(ctx context.Context, after uint64, within time.Duration, tell func(Catalog)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(callTimeout, func() { cancel(errors.New("silent")) })
-	defer silent.Stop()
+	late := time.AfterFunc(within, func() { cancel(errors.New("no answer")) })
+	defer late.Stop()
 	body, err := d.get(ctx, url.Values{"watch": {"1"}, "after": {strconv.FormatUint(after, 10)}})
 	if err != nil {
 		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
 	}
 	defer body.Close()
+	late.Stop()
+	silent := time.AfterFunc(d.silence, func() { cancel(errSilent) })
+	defer silent.Stop()
 	in := &pulse{Reader: body, alive: func() { silent.Reset(d.silence) }}
 	in.next(nil)
 	for messages := json.NewDecoder(in); ; {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"barleytack/balance"
 )
 
 // However a watch goes wrong, it ends with an error, and what came before was told.
@@ -43,7 +46,7 @@
 		d := newDiscovery(p.addr)
 		d.silence = 20 * time.Millisecond
 		told := 0
-		err := d.watch(context.Background(), 1, func(got Catalog) {
+		err := d.watch(context.Background(), 1, patience, func(got Catalog) {
 			if told++; got.Generation != 7 || !got.Reset || len(got.Instances) != 1 {
 				t.Errorf("%s: %+v", name, got)
 			}
@@ -54,11 +57,58 @@
 	}
 }
 
-// A dead watch must be given up, and the next one begun, before its news counts as told after 6 s.
+// A dead watch must be given up, and the next one begun, before its news counts as told after 6 s, also where the call
+// in between gets no answer, or an answer that begins and tells nothing.
 func TestSilenceIsNoticedInTime(t *testing.T) {
-	if watchSilence <= 2*time.Second || watchSilence > 4*time.Second {
+	if watchSilence <= 2*time.Second {
 		t.Errorf("%v, where an empty line comes every 2 s", watchSilence)
 	}
+	for kind, name := range map[balance.ListKind]string{balance.ListFailed: "no answer", balance.ListSilent: "half an answer"} {
+		worst := 0.0
+		for seed := range uint64(50) {
+			b := balance.New(balance.Config{Seed: seed, Peers: 8, Subscribe: true, AskWithin: 10000, Classes: make([]balance.Class, 1)})
+			b.Start(0)
+			spent, now := float64(watchSilence/time.Millisecond), 0.0
+			tell := func(ev balance.Event) (at float64) {
+				actions, err := b.Handle(now, ev)
+				if err != nil || len(actions) != 1 {
+					t.Fatalf("%v after %#v (%v)", actions, ev, err)
+				}
+				return actions[0].At
+			}
+			ask := balance.Timer{Token: 1 << 60}
+			tell(ask)
+			spent += tell(balance.ServerList{Kind: balance.ListSilent})
+			call := tell(ask)
+			if kind == balance.ListSilent {
+				call = float64(watchSilence / time.Millisecond)
+			}
+			spent += call + tell(balance.ServerList{Kind: kind})
+			worst = max(worst, spent)
+		}
+		if worst > 6000 {
+			t.Errorf("after %s the call that can tell is made only after %v ms", name, worst)
+		}
+	}
+}
+
+// An answer that does not begin is not silence: discovery may be slow.
+func TestACallWithoutAnAnswer(t *testing.T) {
+	for answer, silence := range map[string]bool{"": false, "HTTP/1.1 200 OK\r\n\r\n": true} {
+		p := newPeer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(c, answer)
+			return true
+		})
+		d := newDiscovery(p.addr)
+		d.silence = 20 * time.Millisecond
+		within := patience
+		if !silence {
+			within = d.silence
+		}
+		if err := d.watch(context.Background(), 1, within, nil); err == nil || errors.Is(err, errSilent) != silence {
+			t.Errorf("%q: %v", answer, err)
+		}
+	}
 }
 
 func TestFetch(t *testing.T) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -173,7 +173,7 @@
 				l.up.closeIdle(&s.end)
 			}
 		case balance.Watch:
-			l.watch()
+			l.watch(duration(a.At))
 		case balance.Fetch:
 			disc := l.disc
 			go func() {
@@ -341,7 +341,7 @@
 }
 
 // watch opens the standing watch, in place of the one before.
-func (l *Loop) watch() {
+func (l *Loop) watch(within time.Duration) {
 	if l.stopWatch != nil {
 		l.stopWatch()
 	}
@@ -349,7 +349,7 @@
 	l.stopWatch = stop
 	after, disc := l.generation, l.disc
 	go func() {
-		err := disc.watch(ctx, after, func(c Catalog) {
+		err := disc.watch(ctx, after, within, func(c Catalog) {
 			l.post(func() {
 				if ctx.Err() == nil {
 					l.called(c, nil)
@@ -370,9 +370,7 @@
 func (l *Loop) Reload(c *Config) {
 	l.post(func() {
 		l.disc = newDiscovery(c.Discovery)
-		if l.stopWatch != nil {
-			l.watch()
-		}
+		l.tell(balance.ServerList{Kind: balance.ListMoved})
 		l.log.Info("reloaded", "discovery", c.Discovery)
 	})
 }
@@ -381,7 +379,11 @@
 func (l *Loop) called(c Catalog, err error) {
 	if err != nil {
 		l.log.Info("discovery", "err", err)
-		l.tell(balance.ServerList{Kind: balance.ListFailed})
+		kind := balance.ListFailed
+		if errors.Is(err, errSilent) {
+			kind = balance.ListSilent
+		}
+		l.tell(balance.ServerList{Kind: kind})
 		return
 	}
 	kind := balance.ListDelta
