Let changes that are older than what is known undo nothing

Seen, by reading and forced in the test: a change of generation 42 on a watch that had told of 43 put a draining server back to work, and the next watch asked for what came after 42.

At fault: `list` in internal/sidecar/loop.go took any `generation`, and kept it as the one to go on from.

Ruled out as ways for old news: the messages of a watch that was replaced, also those on their way through the loop's queue, and those of the old address after SIGHUP (`ctx.Err` in `watch`); the list of the configuration against the first answer (it is taken in before any event); a list that was asked for once (`Fetch` is never asked for).

Now such a watch is ended and the whole list is asked for. A whole list is taken whatever its number: a discovery that starts anew may count from a lower one, which the protocol marks with `reset`.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -377,6 +378,11 @@
 
 // called takes in what a call to discovery brought.
 func (l *Loop) called(c Catalog, err error) {
+	if err == nil && !c.Reset && c.Generation < l.generation { // only the whole list tells whether it starts anew
+		err = fmt.Errorf("generation %d after %d", c.Generation, l.generation)
+		l.generation = 0
+		l.stopWatch()
+	}
 	if err != nil {
 		l.log.Info("discovery", "err", err)
 		kind := balance.ListFailed
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -200,6 +200,41 @@
 	close(more)
 }
 
+// Changes that are older than what is known undo nothing: the whole list is asked for, and that may count from a lower
+// number, where discovery has started anew.
+func TestOldNews(t *testing.T) {
+	calls, more := make(chan string, 9), make(chan string)
+	disc := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		calls <- req.URL.Query().Get("after")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for text := range more {
+			if _, err := io.WriteString(c, text+"\n"); err != nil || text == "" {
+				break
+			}
+		}
+		return false
+	})
+	addr := deadAddr(t)
+	r := newRig(t, disc.addr, catalog(41, true, instance("s", addr, "up")))
+	draining := func() (off bool) {
+		r.within(func() { off = r.loop.servers[balance.ServerID(stableHash("s"))].end.offSince.Load() != 0 })
+		return off
+	}
+	if after := wait(t, calls); after != "41" {
+		t.Errorf("after %s", after)
+	}
+	more <- catalog(43, false, instance("s", addr, "draining"))
+	eventually(t, "it drains", draining)
+	more <- catalog(42, false, instance("s", addr, "up"))
+	more <- "" // the end of that call, whoever ends it
+	if after := wait(t, calls); after != "0" || !draining() {
+		t.Errorf("after %s; draining: %v", after, draining())
+	}
+	more <- catalog(2, true, instance("s", addr, "up"))
+	eventually(t, "the whole list is taken", func() bool { return !draining() })
+	close(more)
+}
+
 // A send to a server that is not in the table, given up at once, is told as never sent and does no harm.
 func TestASendToAnUnknownServer(t *testing.T) {
 	p := newPeer(t, silent)
