Answer requests of which a part was read when the sidecar began to stop

Seen: after SIGTERM and the time in which connections still come, a request whose head came in two parts, the second of them after the listener had closed, got no answer: its connection was closed ("unexpected EOF" at the client), on a new connection as well as on one kept from before. Forced in the test by two halves; at a sidecar short of its core the same happens to a head that is read in one piece at the wrong moment. What was taken and is not answered is lost.

At fault: `Serve` in internal/sidecar/server.go used http.Server.Shutdown, after which net/http returns from a connection as soon as it has read a request (`shuttingDown` in its `conn.serve`); and `SetKeepAlivesEnabled(false)` closes connections that it holds to be idle until a whole head is read, also with bytes of the next request taken from them.

Now the sidecar ends them itself: a connection of which nothing was read since its last answer ends by a read deadline in the past, which, unlike a close, does not take away what a read has just got; net/http's own deadlines do not undo it. What is begun is answered with `Connection: close`. New connections without a byte end once the listener is closed. The process ends when the last connection has, or with the longest deadline as before.

Read and ruled out: a deadline set while a read returns bytes (`idle` is cleared under the same lock that sets it, and the server's next deadline takes effect then); a connection accepted while the listener closes (all are known once `Serve` of net/http has returned); a place given back twice (the table of open places decides).

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // headConn keeps the head of the present request as it came. net/http follows Transfer-Encoding where
@@ -14,15 +16,49 @@
 // one side takes for its body is the next request to the other.
 type headConn struct {
 	net.Conn
+	leaving *atomic.Int32 // see bounded
+
 	mu    sync.Mutex // the server reads in the background while a handler runs
 	head  []byte
 	whole bool
+	idle  bool // no byte of the next request was read
+	used  bool // there was a request before
+}
+
+// longAgo as a deadline ends a read that has got nothing. Unlike a close, it does not take away what one has got.
+var longAgo = time.Unix(1, 0)
+
+// leave ends the connection if it is idle and is to end.
+func (c *headConn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left() {
+		c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+func (c *headConn) left() bool {
+	which := c.leaving.Load()
+	return c.idle && (which == leaveAll || which == leaveUsed && c.used)
+}
+
+// SetReadDeadline leaves one that ends the connection in place: the server sets its own as it begins to wait.
+func (c *headConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left() {
+		t = longAgo
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 {
+		c.idle = false
+	}
 	if !c.whole && len(c.head) <= maxHead {
 		from := max(0, len(c.head)-3) // its end may come in parts
 		c.head = append(c.head, p[:n]...)
@@ -48,7 +84,7 @@
 func (c *headConn) next() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.whole = c.head[:0], false
+	c.head, c.whole, c.idle, c.used = c.head[:0], false, true, true
 }
 
 // fields tells the names of the header fields of the present request, in lower case; ok: its head was seen.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -102,22 +102,38 @@
 	}
 	// Idle connections are closed while the listener still accepts, so that clients come again on new ones.
 	s.draining.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
+	clients.leave(leaveUsed)
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-s.after(lingering):
 	}
+	// Not http.Server.Shutdown: it gives no answer to a request of which it reads the last byte afterwards.
 	ctx, cancel := context.WithTimeout(context.Background(), s.longest)
 	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutdown: %w", err)
+	clients.Close()
+	select { // only now are all known that were accepted
+	case <-failed:
+	case <-ctx.Done():
+	}
+	clients.leave(leaveAll)
+	select {
+	case <-clients.gone:
+	case <-ctx.Done():
+	}
+	return s.http.Close() // what the time-out found was a connection without a request
+}
+
+// end has the client's connection closed after the answer, once the sidecar is to stop.
+func (s *Server) end(w http.ResponseWriter) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
 	}
-	return nil // what the time-out found was a connection without a request
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := s.loop.clock.Now()
+	s.end(w)
 	if req.ContentLength != 0 { // what is left of a body is read after the answer too, also by net/http
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTime))
 	}
@@ -155,6 +171,7 @@
 	}
 	select {
 	case a := <-answers:
+		s.end(w)
 		write(w, a)
 	case <-req.Context().Done():
 		s.loop.post(func() { s.loop.hangUp(r) })
@@ -266,11 +283,51 @@
 type bounded struct {
 	net.Listener
 	places, away chan struct{}
-	taken, over  atomic.Int64 // connections since the start: with a place, and one too many
+	taken, over  atomic.Int64  // connections since the start: with a place, and one too many
+	leaving      atomic.Int32  // which connections without a request are to end: none, leaveUsed or leaveAll
+	gone         chan struct{} // closed when all have ended, after leaveAll
+
+	mu   sync.Mutex
+	open map[*place]struct{}
 }
 
+const (
+	leaveUsed = 1 + iota // those that have had one: clients come again on new ones
+	leaveAll
+)
+
 func newBounded(ln net.Listener, most int) *bounded {
-	return &bounded{Listener: ln, places: make(chan struct{}, most), away: make(chan struct{}, turnedAway)}
+	return &bounded{
+		Listener: ln, places: make(chan struct{}, most), away: make(chan struct{}, turnedAway),
+		gone: make(chan struct{}), open: map[*place]struct{}{},
+	}
+}
+
+// leave ends the connections of which no byte of a further request was read. No more are accepted before leaveAll.
+func (b *bounded) leave(which int32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving.Store(which)
+	for p := range b.open {
+		p.leave()
+	}
+	if which == leaveAll && len(b.open) == 0 {
+		close(b.gone)
+	}
+}
+
+// free gives a connection's place back.
+func (b *bounded) free(p *place) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, held := b.open[p]; !held {
+		return
+	}
+	delete(b.open, p)
+	<-b.places
+	if b.leaving.Load() == leaveAll && len(b.open) == 0 {
+		close(b.gone)
+	}
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -282,7 +339,11 @@
 		select {
 		case b.places <- struct{}{}:
 			b.taken.Add(1)
-			return &place{headConn: headConn{Conn: c}, free: sync.OnceFunc(func() { <-b.places })}, nil
+			p := &place{headConn: headConn{Conn: c, idle: true, leaving: &b.leaving}, of: b}
+			b.mu.Lock()
+			b.open[p] = struct{}{}
+			b.mu.Unlock()
+			return p, nil
 		default:
 		}
 		b.over.Add(1)
@@ -296,11 +357,11 @@
 
 type place struct {
 	headConn
-	free func()
+	of *bounded
 }
 
 func (p *place) Close() error {
-	defer p.free()
+	defer p.of.free(p)
 	return p.Conn.Close()
 }
 
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -331,6 +333,66 @@
 	}
 }
 
+// A request of which a part was read is answered when the rest comes after the listener has closed, on a new connection
+// and on one kept from before: net/http's own shutdown closes both without a word. One of which nothing was read may be
+// closed.
+func TestStoppingWithRequestsHalfRead(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	var clients *bounded
+	r := withServers(t, p.addr)
+	eventually(t, "it serves", func() bool { clients = r.loop.clients.Load(); return clients != nil })
+	first, second := look("t"), look("u")
+	half := len(first) / 2
+	kept, keptIn := r.open()
+	io.WriteString(kept, look("before"))
+	r.answer(keptIn)
+	eventually(t, "the kept connection is idle", func() bool { return len(heads(clients)) == 1 && heads(clients)[0] == "" })
+	io.WriteString(kept, first[:half])
+	fresh, freshIn := r.open()
+	io.WriteString(fresh, second[:half])
+	unused, unusedIn := r.open()
+	defer unused.Close()
+	eventually(t, "both halves are read", func() bool {
+		read := heads(clients)
+		return len(read) == 3 && slices.Contains(read, first[:half]) && slices.Contains(read, second[:half])
+	})
+	r.stop()
+	r.lingered <- time.Now()
+	eventually(t, "the listener closes", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if _, err := unusedIn.ReadByte(); err != io.EOF {
+		t.Errorf("a connection without a request: %v", err)
+	}
+	io.WriteString(kept, first[half:])
+	io.WriteString(fresh, second[half:])
+	for name, in := range map[string]*bufio.Reader{"kept": keptIn, "fresh": freshIn} {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s: %+v, %v", name, resp, err)
+		}
+	}
+	if err := wait(t, r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// heads are what was read of the present request of each connection.
+func heads(b *bounded) (read []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for p := range b.open {
+		p.mu.Lock()
+		read = append(read, string(p.head))
+		p.mu.Unlock()
+	}
+	return read
+}
+
 // Ready only once a server is known.
 func TestHealth(t *testing.T) {
 	health := "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
