Answer what was taken before SIGKILL can come, also where deadlines are longer than 3 s

The process waited for the longest deadline, however long.

At fault: `Serve` in internal/sidecar/server.go waited for `s.longest`, and the module knew of no end but the client's.

Now the module is told when the process ends (`Stop`), brings the deadlines of all requests forward to it, and answers at that moment as each class allows: refused where a repeat does no harm, else failed. Requests that come later have what is left. The process itself ends 0.1 s later and 0.1 s before SIGKILL. Where deadlines are under 3 s nothing changes: they come first.

--- a/balance/api.go
+++ b/balance/api.go
@@ -232,6 +232,9 @@
 // HangUp says that the client is gone; no answer is owed.
 type HangUp struct{ Request RequestID }
 
+// Stop says that the process ends: all requests, also those to come, must be answered within this time.
+type Stop struct{ Within float64 }
+
 // Timer is a timer set by SetTimer that came due.
 type Timer struct{ Token uint64 }
 
@@ -254,6 +257,7 @@
 func (Outcome) event()     {}
 func (Started) event()     {}
 func (HangUp) event()      {}
+func (Stop) event()        {}
 func (Timer) event()       {}
 func (ProbeResult) event() {}
 func (Message) event()     {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,7 +9,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 )
 
 const (
@@ -86,7 +88,7 @@
 		Request: ev, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class],
 		tenant: b.tenant(ev.Tenant), arrived: b.now, wakeAt: math.Inf(1),
 	}
-	r.deadline = b.now + finite(ev.Remaining, r.class.Deadline)
+	r.deadline = math.Min(b.now+finite(ev.Remaining, r.class.Deadline), b.endAt)
 	b.reqs[ev.ID] = r
 	admitted := b.admit(r)
 	r.count() // only now: else its own class would look a little worse served
@@ -267,6 +269,17 @@
 	b.wake(r)
 }
 
+// onStop brings the end of each request's time forward to the end of the process.
+func (b *Balancer) onStop(ev Stop) {
+	b.endAt = b.now + finite(ev.Within, math.MaxFloat64)
+	for _, id := range slices.Sorted(maps.Keys(b.reqs)) {
+		r := b.reqs[id]
+		if r.deadline = math.Min(r.deadline, b.endAt); !r.done && !r.stream {
+			b.wake(r)
+		}
+	}
+}
+
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
 	if len(r.tries) >= b.cfg.MaxAttempts || len(r.tries) > maxRepeats || len(r.tries) > 0 && b.spare < 1 {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -463,3 +463,35 @@
 		}
 	}
 }
+
+// When the process ends, what is out, what waits and what is still to come is answered in time, and as its class allows.
+func TestAllIsAnsweredWhenTheProcessEnds(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	safe, _ := g.ask(safeClass)
+	unsafe, _ := g.ask(unsafeClass)
+	for _, a := range g.do(Stop{Within: 100}) {
+		if a.Kind != SetTimer || a.At > 100 {
+			t.Errorf("%+v", a)
+		}
+	}
+	g.now += 50
+	later, _ := g.ask(safeClass)
+	if b := g.b.reqs[later]; b.deadline != g.now+50 {
+		t.Errorf("one that comes 50 ms before the end has %v ms", b.deadline-g.now)
+	}
+	g.now += 50
+	answers := map[RequestID]ActionKind{}
+	for _, id := range []RequestID{safe, unsafe, later} {
+		for _, a := range g.do(Timer{Token: uint64(id)}) {
+			if a.Kind == Refuse || a.Kind == Fail {
+				answers[a.Request] = a.Kind
+			}
+		}
+	}
+	if answers[safe] != Refuse || answers[unsafe] != Fail || answers[later] != Refuse || len(answers) != 3 {
+		t.Errorf("%v", answers)
+	}
+	if id, acts := g.ask(unsafeClass); !has(acts, Refuse) || has(acts, Send) {
+		t.Errorf("request %d after the end: %+v", id, acts)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	rng        uint64
 	now        float64
 	started    float64
+	endAt      float64 // when all must be answered
 	longestAim float64 // of all classes
 	out        []Action
 
@@ -235,7 +236,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, heard: map[int]*peer{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
-		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
+		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1, endAt: math.Inf(1),
 		spare: repeatBurst / 2,
 	}
 	for i := range cfg.Classes {
@@ -281,6 +282,8 @@
 		if r := b.reqs[ev.Request]; r != nil {
 			b.close(r)
 		}
+	case Stop:
+		b.onStop(ev)
 	case Started:
 		b.onStarted(ev)
 	case Message:
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -366,6 +366,11 @@
 	}()
 }
 
+// Stop has all requests answered within a time, those to come as well.
+func (l *Loop) Stop(within time.Duration) {
+	l.post(func() { l.tell(balance.Stop{Within: float64(within) / float64(time.Millisecond)}) })
+}
+
 // Reload takes in a new configuration. Only discovery's address can change in a running sidecar: a standing watch,
 // or one that is about to be asked for again, moves there at once, since the old address closes soon.
 func (l *Loop) Reload(c *Config) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -26,6 +26,10 @@
 	turnAwayTime = 500 * time.Millisecond
 	// lingering: after SIGTERM new connections come for up to 0.4 s.
 	lingering = 600 * time.Millisecond
+	// SIGKILL comes no sooner than the longest deadline, counted as mostTime where it is longer, plus 0.7 s. The process
+	// ends a little earlier, and what it has taken is answered earlier still.
+	mostTime  = 3 * time.Second
+	lastWords = 100 * time.Millisecond
 	// Anyone may connect, and a place that is held for nothing is lacking to a client. A connection without a request
 	// may be closed after 2 s, and whoever sends none, or half of one, must be rid of within 3 s.
 	headerTime = 2200 * time.Millisecond
@@ -69,6 +73,7 @@
 	classes  map[string]int
 	http     *http.Server
 	longest  time.Duration // the longest deadline
+	left     time.Duration // ... and what of it there is after SIGTERM
 	draining atomic.Bool
 	after    func(time.Duration) <-chan time.Time // time.After
 	bodyTime time.Duration
@@ -81,6 +86,7 @@
 		s.classes[name] = i
 		s.longest = max(s.longest, duration(l.profile.Profile.Config.Classes[i].Deadline))
 	}
+	s.left = min(s.longest, mostTime)
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, WriteTimeout: writeTime + s.longest,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
@@ -102,6 +108,7 @@
 	}
 	// Idle connections are closed while the listener still accepts, so that clients come again on new ones.
 	s.draining.Store(true)
+	s.loop.Stop(lingering + s.left - lastWords)
 	clients.leave(leaveUsed)
 	select {
 	case err := <-failed:
@@ -109,7 +116,7 @@
 	case <-s.after(lingering):
 	}
 	// Not http.Server.Shutdown: it gives no answer to a request of which it reads the last byte afterwards.
-	ctx, cancel := context.WithTimeout(context.Background(), s.longest)
+	ctx, cancel := context.WithTimeout(context.Background(), s.left)
 	defer cancel()
 	clients.Close()
 	select { // only now are all known that were accepted
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -381,6 +382,27 @@
 	}
 }
 
+// What has been taken is answered before SIGKILL can come, also where its class has far more time.
+func TestStoppingBeforeALongDeadline(t *testing.T) {
+	got := make(chan struct{}, 1)
+	p := newPeer(t, func(net.Conn, *http.Request, string) bool { got <- struct{}{}; return true })
+	if s := NewServer(withServers(t, p.addr).loop, slog.New(slog.DiscardHandler)); s.left != mostTime {
+		t.Errorf("%v are left of a deadline of %v", s.left, s.longest)
+	}
+	r := newRig(t, deadAddr(t), known(p.addr), func(s *Server) { s.left = 0 })
+	c, in := r.open()
+	io.WriteString(c, once("t"))
+	wait(t, got)
+	r.stop()
+	if resp, _ := r.answer(in); resp.StatusCode != http.StatusBadGateway || !resp.Close {
+		t.Errorf("%+v", resp)
+	}
+	r.lingered <- time.Now()
+	if err := wait(t, r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // heads are what was read of the present request of each connection.
 func heads(b *bounded) (read []string) {
 	b.mu.Lock()
