Have the test of the end before a long deadline fail where only that deadline ends the request

It passed with the call of Stop in Serve taken out: the request's own 9 s ended it within the test's patience. Now an answer that comes only then is an error; seen to fail without the call.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -391,12 +391,16 @@
 	}
 	r := newRig(t, deadAddr(t), known(p.addr), func(s *Server) { s.left = 0 })
 	c, in := r.open()
+	sent := time.Now()
 	io.WriteString(c, once("t"))
 	wait(t, got)
 	r.stop()
 	if resp, _ := r.answer(in); resp.StatusCode != http.StatusBadGateway || !resp.Close {
 		t.Errorf("%+v", resp)
 	}
+	if time.Since(sent) >= 9*time.Second {
+		t.Error("answered only when the request's own time was over")
+	}
 	r.lingered <- time.Now()
 	if err := wait(t, r.ended); err != nil {
 		t.Error(err)
