Send a repeat only once the connection of the attempt before it is closed

Seen, by reading and forced in the tests: an attempt that is given up (its time over, cancelled, overdue) is told to the module in the same turn of the loop in which its goroutine is told to close the connection. The module sends the next attempt in that turn; on an idle connection its goroutine writes at once, and may do so before the other has closed: two copies out at the same time. With its write held up, an attempt was not given up at all until its deadline.

At fault: `Loop.send` in internal/sidecar/loop.go began an attempt without regard to those before it; `upstream.send` in internal/sidecar/upstream.go looked at its context only before and after the write.

Now an attempt waits for the end of those before it, which comes at once: a dial and a write end with their context.

Ruled out in the same reading: the window of a keyed repeat (it counts from the decision to send, which is earlier than the first byte); an attempt that is given up, timed out and answered in one turn (`done` and `claim` let one of them through); a partial write or a reset seen by reader and writer (a write that did not take the last byte proves that nothing ran, one that did leaves the reader's word).

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -68,6 +68,7 @@
 	clean  bool // it is certain that it never ran
 	done   bool
 	cancel context.CancelFunc
+	over   chan struct{} // closed when nothing of it goes on: its connection is closed, or idle again
 }
 
 // server is one instance of the list, kept while it is listed or attempts need it.
@@ -260,7 +261,7 @@
 	now := l.clock.Now()
 	ctx, cancel := context.WithCancel(l.ctx)
 	c := &call{message: r.message, expires: r.deadline, begin: math.Inf(1)}
-	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: now, cancel: cancel}
+	at := &attempt{r: r, number: len(r.attempts), id: a.Server, to: l.servers[a.Server], call: c, sent: now, cancel: cancel, over: make(chan struct{})}
 	if a.At > 0 {
 		c.expires = math.Min(c.expires, a.At)
 	}
@@ -269,16 +270,22 @@
 			c.begin = math.Min(c.begin, earlier.sent+r.window)
 		}
 	}
+	earlier := r.attempts
 	r.attempts = append(r.attempts, at)
 	r.out++
 	if at.to == nil || r.closed {
+		close(at.over)
 		l.later = append(l.later, func() { l.attemptEnded(at, reply{result: balance.Moot}) })
 		return
 	}
 	c.to = &at.to.end
 	l.timers.add(timer{due: c.expires, attempt: at})
 	go func() {
+		for _, e := range earlier { // one given up stays out until its connection is closed: never two at once
+			<-e.over
+		}
 		rep := l.up.send(ctx, c)
+		close(at.over)
 		l.post(func() { l.attemptEnded(at, rep) })
 	}()
 }
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -235,6 +236,46 @@
 	close(more)
 }
 
+// An attempt that was given up counts as out until its connection is closed: the next one goes out only then, however
+// long that takes.
+func TestNeverTwoAttemptsAtOnce(t *testing.T) {
+	var closed atomic.Bool
+	first := newPeer(t, silent)
+	second := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		if req.Header.Get("X-Trace-Id") == "t" && !closed.Load() {
+			t.Error("sent while the first attempt was out")
+		}
+		io.WriteString(c, okAnswer)
+		return true
+	})
+	r := withServers(t, first.addr, second.addr)
+	to := balance.ServerID(stableHash("s-1"))
+	over := make(chan struct{})
+	answers := make(chan answer, 1)
+	sendTo := func(trace string, earlier ...*attempt) {
+		r.within(func() {
+			r.loop.lastID++
+			req := &request{
+				inbound:  inbound{trace: trace, message: message{method: "GET", target: "/look", header: [][2]string{{"X-Trace-Id", trace}}}},
+				id:       r.loop.lastID,
+				deadline: r.loop.clock.Now() + 9000, answer: answers, attempts: earlier,
+			}
+			r.loop.requests[req.id] = req
+			r.loop.carryOut([]balance.Action{{Kind: balance.Send, Request: req.id, Server: to}})
+		})
+	}
+	sendTo("t", &attempt{done: true, over: over})
+	sendTo("other") // a turn of all that is not held up
+	if a := wait(t, answers); a.kind != balance.OK {
+		t.Errorf("the other is answered with %v", a.kind)
+	}
+	closed.Store(true)
+	close(over)
+	if a := wait(t, answers); a.kind != balance.OK || second.requests.Load() != 2 {
+		t.Errorf("answered with %v, %d sent", a.kind, second.requests.Load())
+	}
+}
+
 // A send to a server that is not in the table, given up at once, is told as never sent and does no harm.
 func TestASendToAnUnknownServer(t *testing.T) {
 	p := newPeer(t, silent)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -216,6 +216,7 @@
 		u.park(cn, x)
 		return reply{result: balance.Moot, err: errors.New("too late to begin")}
 	}
+	defer context.AfterFunc(ctx, func() { u.giveUp(cn, x) })() // also while the write is held up
 	cn.SetWriteDeadline(u.clock.Time(c.expires))
 	text := c.message.encode(cn.addr, c.expires-now)
 	x.begun.Store(true)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -1,13 +1,16 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,6 +134,57 @@
 	eventually(t, "the place is given back", func() bool { return u.opened() == 0 })
 }
 
+// smallBuffers are those of sockets by which a large request is held up in the middle while its peer does not read.
+func smallBuffers(_, _ string, c syscall.RawConn) (err error) {
+	return errors.Join(c.Control(func(fd uintptr) {
+		err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4<<10),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10))
+	}), err)
+}
+
+// slowReader is a server that reads no more than a request's head, and answers that.
+func slowReader(t *testing.T, answer string) (addr string, conns <-chan net.Conn) {
+	t.Helper()
+	ln, err := (&net.ListenConfig{Control: smallBuffers}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	taken := make(chan net.Conn, 9)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			if _, err := http.ReadRequest(bufio.NewReaderSize(c, 64)); err == nil {
+				io.WriteString(c, answer)
+				taken <- c
+			}
+		}
+	}()
+	return ln.Addr().String(), taken
+}
+
+// An attempt can be given up also while its request is being written.
+func TestGivingUpInTheMiddleOfARequest(t *testing.T) {
+	addr, conns := slowReader(t, "")
+	u := testUpstream(t, 9)
+	u.dialer.Control = smallBuffers
+	ctx, cancel := context.WithCancel(context.Background())
+	c := u.call(&endpoint{addr: addr})
+	c.message = message{method: "POST", target: "/once", body: make([]byte, maxBody)}
+	done := make(chan reply, 1)
+	go func() { done <- u.send(ctx, c) }()
+	wait(t, conns)
+	cancel()
+	if r := wait(t, done); r.result != balance.ConnectFailed { // its last byte did not leave
+		t.Errorf("result %v (%v)", r.result, r.err)
+	}
+	eventually(t, "the place is given back", func() bool { return u.opened() == 0 })
+}
+
 // An attempt given up just as its answer came must not close the connection, which may carry another by now.
 func TestGivingUpSparesTheNextExchange(t *testing.T) {
 	p := newPeer(t, says(okAnswer))
