Close connections on which a server answers before it has the whole request

Seen, by reading and forced in the test (a server that reads the head of a 64 KiB request, answers and reads no more): the reader took the answer and made the connection idle while the request's body was still being written to it. The next request was handed that connection and waited behind the rest of the first one's body ("cancelled (context deadline exceeded)"), and the first attempt ended by its write's time-out though it had its answer.

At fault: `upstream.read` in internal/sidecar/upstream.go made a connection idle on a whole answer, whatever `send` was still doing with it.

Now `send` tells when its last byte has left; an answer that comes earlier closes the connection, and a 200 among those is a failed attempt that may have run, since a server begins a request with its last byte. The writer is given 10 ms to tell, as it may have written and be a moment late.

Ruled out: a reply and the write's error for one attempt (`send` returns one of them; where the last byte did not leave, that nothing ran is certain).

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -28,6 +28,7 @@
 	defaultDial  = 1000
 	probeTimeout = 1000
 	loadHeader   = "Endpoint-Load-Metrics"
+	earlyBy      = 10 * time.Millisecond
 	leastIdle    = 20 * time.Millisecond // a connection lost sooner was hardly lost for being idle
 	relearn      = 10 * time.Second
 )
@@ -118,9 +119,25 @@
 	method string
 	idle   time.Duration // how long its connection had been idle; 0: it was opened for this
 	begun  atomic.Bool   // its first byte may have left
+	sent   chan struct{} // closed when its last byte has left, or none will any more
 	done   chan reply    // takes one reply
 }
 
+func newExchange(method string) *exchange {
+	return &exchange{method: method, sent: make(chan struct{}), done: make(chan reply, 1)}
+}
+
+// early: the answer came though a part of the request has not left. The one who writes it may just be a moment late to
+// tell that it has.
+func (x *exchange) early() bool {
+	select {
+	case <-x.sent:
+		return false
+	case <-time.After(earlyBy):
+		return true
+	}
+}
+
 // reply is what came back for an attempt.
 type reply struct {
 	result balance.Result
@@ -202,7 +219,7 @@
 // send carries out an attempt. It returns when the attempt has ended, or soon after ctx has, which gives the
 // attempt up and closes its connection.
 func (u *upstream) send(ctx context.Context, c *call) (r reply) {
-	x := &exchange{method: c.message.method, done: make(chan reply, 1)}
+	x := newExchange(c.message.method)
 	defer func() { r.idle = x.idle }()
 	cn, err := u.connect(ctx, c.to, x)
 	if err != nil {
@@ -220,7 +237,9 @@
 	cn.SetWriteDeadline(u.clock.Time(c.expires))
 	text := c.message.encode(cn.addr, c.expires-now)
 	x.begun.Store(true)
-	if n, err := cn.Write(text); err != nil {
+	n, err := cn.Write(text)
+	close(x.sent)
+	if err != nil {
 		u.giveUp(cn, x)
 		if n < len(text) { // the server begins with the last byte
 			return reply{result: balance.ConnectFailed, err: err}
@@ -343,6 +362,11 @@
 		c.to.worked(x.idle)
 		u.mu.Unlock()
 		r, keep := readReply(c.in, x.method, u.fields)
+		if r.result != balance.Reset && x.early() { // the rest would be taken for the next request
+			if keep = false; r.result != balance.Full { // it cannot be the answer to what was not whole
+				r = reply{result: balance.Reset, err: errors.New("answered before it was sent")}
+			}
+		}
 		if keep && c.in.Buffered() == 0 {
 			u.park(c, x)
 			x.done <- r
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -190,7 +190,7 @@
 	p := newPeer(t, says(okAnswer))
 	u := testUpstream(t, 9)
 	e := &endpoint{addr: p.addr}
-	x := &exchange{method: "GET", done: make(chan reply, 1)}
+	x := newExchange("GET")
 	c, err := u.connect(context.Background(), e, x)
 	if err != nil {
 		t.Fatal(err)
@@ -293,6 +293,27 @@
 	}
 }
 
+// A server that answers before it has the whole request gets no other on that connection, which would begin in the middle
+// of the first one's body, and its answer is not taken for one to a request that it does not have.
+func TestAnAnswerBeforeTheRequestIsSent(t *testing.T) {
+	addr, conns := slowReader(t, okAnswer)
+	u := testUpstream(t, 9)
+	u.dialer.Control, u.idle = smallBuffers, time.Hour
+	e := &endpoint{addr: addr}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	first := u.call(e)
+	first.message = message{method: "POST", target: "/once", body: make([]byte, maxBody)}
+	if r := u.send(ctx, first); r.result == balance.OK || ctx.Err() != nil {
+		t.Errorf("result %v (%v)", r.result, r.err)
+	}
+	if r := u.send(ctx, u.call(e)); r.result != balance.OK {
+		t.Errorf("the next one: %v (%v)", r.result, r.err)
+	}
+	wait(t, conns)
+	wait(t, conns) // each had its own
+}
+
 func TestTheNewestConnectionIsUsedFirst(t *testing.T) {
 	p := newPeer(t, says(okAnswer))
 	u := testUpstream(t, 9)
@@ -300,7 +321,7 @@
 	var conns []*conn
 	var xs []*exchange
 	for range 2 {
-		x := &exchange{method: "GET", done: make(chan reply, 1)}
+		x := newExchange("GET")
 		c, err := u.connect(context.Background(), e, x)
 		if err != nil {
 			t.Fatal(err)
