Leave a connection alone for 20 ms after an answer: a second one may come behind it

Whose answer is it? Once the next request is written, nothing tells: an answer carries no id that the protocol promises. At fault: `connect` in internal/sidecar/upstream.go took the newest idle connection however fresh its answer was.

Now it leaves those alone that had their answer less than 20 ms ago, five times the latest seen and the time under which a loss already passes for chance (`leastIdle`); a second answer finds the connection idle, which closes it. Another idle connection is used meanwhile, or one is opened.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -28,6 +28,7 @@
 	defaultDial  = 1000
 	probeTimeout = 1000
 	loadHeader   = "Endpoint-Load-Metrics"
+	settleTime   = 20 * time.Millisecond // second answers came up to 4 ms behind the first
 	earlyBy      = 10 * time.Millisecond
 	leastIdle    = 20 * time.Millisecond // a connection lost sooner was hardly lost for being idle
 	relearn      = 10 * time.Second
@@ -39,7 +40,8 @@
 	dialer net.Dialer
 	dial   time.Duration // the longest that a connection may take to come up
 	idle   time.Duration
-	most   int // connections at once
+	settle time.Duration // how long a connection is left alone after an answer
+	most   int           // connections at once
 	grace  float64
 	fields []string
 
@@ -173,7 +175,7 @@
 		clock: clock, most: most, grace: c.Profile.Config.DrainGrace, fields: c.Profile.Fields,
 		dial: duration(or(c.Profile.Config.ConnectTimeout, defaultDial)),
 		idle: duration(idlePart * or(c.Profile.ConnIdle, defaultIdle)),
-		all:  map[*endpoint]struct{}{},
+		all:  map[*endpoint]struct{}{}, settle: settleTime,
 		// Go's own keep-alive probes tell nothing here; attempts have deadlines.
 		dialer: net.Dialer{KeepAlive: -1},
 	}
@@ -255,18 +257,24 @@
 	}
 }
 
-// connect takes the newest idle connection, which is the least likely to be closed by the server, or opens one.
+// connect takes the newest idle connection, which is the least likely to be closed by the server, or opens one. It leaves
+// those alone on which more of the last answer could still come.
 func (u *upstream) connect(ctx context.Context, e *endpoint, x *exchange) (*conn, error) {
 	u.mu.Lock()
-	if n := len(e.idle); n > 0 && time.Since(e.idle[n-1].last) > e.most(u.idle) {
+	now, n := time.Now(), len(e.idle)
+	for n > 0 && now.Sub(e.idle[n-1].last) < u.settle {
+		n--
+	}
+	if n > 0 && now.Sub(e.idle[n-1].last) > e.most(u.idle) {
 		u.mu.Unlock()
 		u.closeIdle(e) // the others were idle for longer
 		u.mu.Lock()
+		n = 0
 	}
-	if n := len(e.idle); n > 0 {
+	if n > 0 {
 		c := e.idle[n-1]
-		e.idle = e.idle[:n-1]
-		c.x, x.idle = x, time.Since(c.last)
+		e.idle = slices.Delete(e.idle, n-1, n)
+		c.x, x.idle = x, now.Sub(c.last)
 		c.SetReadDeadline(time.Time{})
 		u.reuses++
 		u.mu.Unlock()
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -23,7 +23,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newUpstream(NewClock(), &c, most)
+	u := newUpstream(NewClock(), &c, most)
+	u.settle = 0
+	return u
 }
 
 func (u *upstream) call(e *endpoint) *call {
@@ -314,6 +316,42 @@
 	wait(t, conns) // each had its own
 }
 
+// A second answer that comes some milliseconds behind the first one must find no request on its connection: it would be
+// taken for the answer to that. Another idle connection is used meanwhile, or one is opened.
+func TestASecondAnswer(t *testing.T) {
+	again := make(chan net.Conn, 9)
+	p := newPeer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+req.URL.Query().Get("n"))
+		again <- c
+		return true
+	})
+	u := testUpstream(t, 9)
+	u.settle = time.Hour
+	e := &endpoint{addr: p.addr}
+	for _, n := range []string{"1", "2"} {
+		c := u.call(e)
+		c.message.target += "?n=" + n
+		if r := u.send(context.Background(), c); r.result != balance.OK || string(r.body) != n {
+			t.Fatalf("request %s: %v, %q", n, r.result, r.body)
+		}
+	}
+	first := wait(t, again)
+	io.WriteString(first, okAnswer)
+	wait(t, p.ended) // its connection is closed
+	u.mu.Lock()
+	if len(e.idle) != 1 {
+		t.Fatalf("%d idle connections", len(e.idle))
+	}
+	e.idle[0].last = e.idle[0].last.Add(-2 * u.settle) // the other one has settled
+	u.idle = 3 * u.settle
+	u.mu.Unlock()
+	c := u.call(e)
+	c.message.target += "?n=3"
+	if r := u.send(context.Background(), c); string(r.body) != "3" || r.idle < u.settle || p.conns.Load() != 2 {
+		t.Errorf("%v, %q, idle for %v, %d connections", r.result, r.body, r.idle, p.conns.Load())
+	}
+}
+
 func TestTheNewestConnectionIsUsedFirst(t *testing.T) {
 	p := newPeer(t, says(okAnswer))
 	u := testUpstream(t, 9)
