Turn clients away without making the next one wait

Seen, by reading and forced in the test: with 16 connections too many being turned away, each for up to 0.5 s, `Accept` waited for one of them to go, and everybody behind it too: clients, peers that are owed a close within 3 s, `_health`. With over 32 a second too many the queue only grows.

At fault: `bounded.Accept` in internal/sidecar/server.go blocked on `away`. Now one beyond those gets its 503 and is closed at once; only the time in which its own bytes are read, so that no reset takes the answer away, is left out.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -360,11 +360,15 @@
 		default:
 		}
 		b.over.Add(1)
-		b.away <- struct{}{}
-		go func() {
-			turnAway(c)
-			<-b.away
-		}()
+		select {
+		case b.away <- struct{}{}:
+			go func() {
+				turnAway(c, turnAwayTime)
+				<-b.away
+			}()
+		default: // those behind it must not wait, and its answer may be lost to a reset
+			turnAway(c, 0)
+		}
 	}
 }
 
@@ -378,10 +382,11 @@
 	return p.Conn.Close()
 }
 
-// turnAway answers 503 and reads on for a moment: a close with bytes unread would reset the answer away.
-func turnAway(c net.Conn) {
+// turnAway answers 503 and reads on for a while: a close with bytes unread would reset the answer away.
+func turnAway(c net.Conn, reading time.Duration) {
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(turnAwayTime))
+	c.SetWriteDeadline(time.Now().Add(turnAwayTime)) // never reached: the first bytes on a connection are buffered
+	c.SetReadDeadline(time.Now().Add(reading))
 	io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 	if t, ok := c.(*net.TCPConn); ok {
 		t.CloseWrite()
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -338,6 +338,27 @@
 	}
 }
 
+// However many there are too many, none makes the next one wait.
+func TestFarTooManyClients(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := newBounded(inner, 0)
+	for range cap(ln.away) { // as if all of them were slow to go
+		ln.away <- struct{}{}
+	}
+	go ln.Accept()
+	defer inner.Close()
+	r := &rig{t: t, addr: inner.Addr().String()}
+	for range 2 {
+		_, in := r.open()
+		if resp, _ := r.answer(in); resp.StatusCode != 503 || !resp.Close {
+			t.Errorf("%+v", resp)
+		}
+	}
+}
+
 // A client that is refused is told when to come back; a failure promises nothing.
 func TestFinalAnswers(t *testing.T) {
 	for _, c := range []struct {
