Bound what is read of one answer, also of its head, its chunks and what follows

Seen, by reading and in the test: of an answer that never ends only the body was bounded.

At fault: `readReply` in internal/sidecar/upstream.go (http.ReadResponse has no bound on a response's head). Now a connection's reader stops after 512 KiB of one answer, enough for a 64 KiB body in chunks of one byte: a spoilt answer, which may have run.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,7 +23,8 @@
 
 const (
 	maxBody      = 64 << 10
-	idlePart     = 0.8 // of the time after which a server closes an idle connection: we close it first
+	maxAnswer    = 8 * maxBody // with its head, and however it is cut into chunks
+	idlePart     = 0.8         // of the time after which a server closes an idle connection: we close it first
 	defaultIdle  = 10000
 	defaultDial  = 1000
 	probeTimeout = 1000
@@ -109,6 +110,7 @@
 	to   *endpoint
 	addr string
 	in   *bufio.Reader
+	left *quota // of in
 	last time.Time
 
 	// Guarded by upstream.mu:
@@ -116,6 +118,21 @@
 	counted bool      // it has a place among the open ones
 }
 
+// quota is a reader's source that ends after some bytes: there are servers whose answers never do.
+type quota struct {
+	io.Reader
+	bytes int
+}
+
+func (q *quota) Read(p []byte) (int, error) {
+	if q.bytes == 0 {
+		return 0, errors.New("an answer that does not end")
+	}
+	n, err := q.Reader.Read(p[:min(len(p), q.bytes)])
+	q.bytes -= n
+	return n, err
+}
+
 // exchange is one request on a connection.
 type exchange struct {
 	method string
@@ -311,7 +328,8 @@
 		u.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: nc, to: e, addr: addr, in: bufio.NewReaderSize(nc, 4<<10), x: x, counted: true}
+	left := &quota{Reader: nc}
+	c := &conn{Conn: nc, to: e, addr: addr, in: bufio.NewReaderSize(left, 4<<10), left: left, x: x, counted: true}
 	go u.read(c)
 	return c, nil
 }
@@ -348,6 +366,7 @@
 // when it has been idle too long or when there are bytes that nobody asked for.
 func (u *upstream) read(c *conn) {
 	for {
+		c.left.bytes = maxAnswer
 		_, err := c.in.Peek(1)
 		u.mu.Lock()
 		x := c.x
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -88,6 +88,33 @@
 	}
 }
 
+// An answer that does not end is given up, wherever it does not: memory is bounded.
+func TestAnswersWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct{ begin, more string }{
+		"in its head":  {"HTTP/1.1 200 OK\r\n", "X-More: " + strings.Repeat("x", 1000) + "\r\n"},
+		"in a line":    {"HTTP/1.1 200 OK\r\nX-More: ", strings.Repeat("x", 1000)},
+		"in its chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;", strings.Repeat("x", 1000)},
+		"behind it":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n", "X-More: " + strings.Repeat("x", 1000) + "\r\n"},
+		"before it":    {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		p := newPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(conn, c.begin)
+			for {
+				if _, err := io.WriteString(conn, c.more); err != nil {
+					return false
+				}
+			}
+		})
+		u := testUpstream(t, 9)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if r := u.send(ctx, u.call(&endpoint{addr: p.addr})); r.result != balance.Reset {
+			t.Errorf("%s: result %v (%v)", name, r.result, r.err)
+		}
+		cancel()
+		eventually(t, "the connection is closed", func() bool { return u.opened() == 0 })
+	}
+}
+
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	u := testUpstream(t, 9)
 	if r := u.send(context.Background(), u.call(&endpoint{addr: deadAddr(t)})); r.result != balance.ConnectFailed {
