Tell zones and kinds apart that the settings do not name

Seen, by reading: a server in a zone that the settings do not have passed for one in the first zone. A keyed request whose key is known within its zone could then be repeated in another, which is a second effect.

At fault: `max(0, slices.Index(...))` in `list`, internal/sidecar/loop.go. Each name not in the settings has a number of its own now, in the order in which the lists bring them.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -427,8 +427,8 @@
 		listed[id] = true
 		entry := balance.Server{
 			ID: id, StartedAt: in.StartedAt, Rating: in.Weight, Cell: in.Cell,
-			Zone: max(0, slices.Index(l.profile.Profile.Zones, in.Zone)),
-			Kind: max(0, slices.Index(l.profile.Profile.Kinds, in.Kind)),
+			Zone: number(&l.profile.Profile.Zones, in.Zone),
+			Kind: number(&l.profile.Profile.Kinds, in.Kind),
 		}
 		switch in.Lifecycle {
 		case "draining":
@@ -464,6 +464,17 @@
 	l.tell(ev)
 }
 
+// number is a name's place among the names. One that the settings do not have is no other's: the key of a request may be
+// known in its own zone only.
+func number(names *[]string, name string) int {
+	i := slices.Index(*names, name)
+	if i < 0 {
+		i = len(*names)
+		*names = append(*names, name)
+	}
+	return i
+}
+
 // fire hands out the timers that are due.
 func (l *Loop) fire() {
 	for now := l.clock.Now(); len(l.timers) > 0 && l.timers[0].due <= now; now = l.clock.Now() {
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -276,6 +276,19 @@
 	}
 }
 
+// Zones and kinds that the settings do not name are told apart, from each other and from those that they do.
+func TestNamesThatTheSettingsDoNotHave(t *testing.T) {
+	names := []string{"a", "b"}
+	for name, want := range []struct {
+		name string
+		n    int
+	}{{"b", 1}, {"x", 2}, {"a", 0}, {"", 3}, {"x", 2}, {"", 3}} {
+		if n := number(&names, want.name); n != want.n {
+			t.Errorf("%d: %q is %d, want %d", name, want.name, n, want.n)
+		}
+	}
+}
+
 // A send to a server that is not in the table, given up at once, is told as never sent and does no harm.
 func TestASendToAnUnknownServer(t *testing.T) {
 	p := newPeer(t, silent)
