Keep handling signals to the very end of the process

Seen, by reading: `run` gave SIGTERM and SIGHUP back to their defaults as it returned. One that came in the moment before the process was gone ended it by a signal, and a sidecar that ends on SIGHUP has crashed. Too short a moment to force from outside; the new test covers what leads there: SIGTERM before any server is known, twice, and with SIGHUP before and after it, each of which must be a clean end. It passes with the former code as well.

At fault: the deferred `release` and `signal.Stop` in cmd/petrelhook/main.go.

--- a/cmd/petrelhook/main.go
+++ b/cmd/petrelhook/main.go
@@ -26,11 +26,10 @@
 }
 
 func run() error {
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer release()
+	// Neither is given back: a signal that comes as the process ends must not end it otherwise.
+	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	cfg, err := readConfig()
 	if err != nil {
 		return err
--- a/cmd/petrelhook/main_test.go
+++ b/cmd/petrelhook/main_test.go
@@ -45,6 +45,62 @@
 	return ln.Addr().String(), conns
 }
 
+// start runs petrelhook and hands over what it logs.
+func start(t *testing.T, config string) (*exec.Cmd, <-chan string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BE_PETRELHOOK=1", "LB_CONFIG="+config)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	lines := make(chan string, 1000)
+	go func() {
+		defer close(lines)
+		for in := bufio.NewScanner(out); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	return cmd, lines
+}
+
+// SIGTERM is a clean end before any server is known, twice, and with SIGHUP before and after it.
+func TestTermination(t *testing.T) {
+	addr, _ := discovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "discovery": %q, "seed": "1", "settings":
+		{"classes": [{"name": "read", "effect": "read_like", "hard_limit_ms": 1000}]}}`, addr)
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGTERM},
+		{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		cmd, lines := start(t, path)
+		for line := range lines {
+			if strings.Contains(line, "serving") {
+				break
+			}
+		}
+		for _, s := range signals {
+			if err := cmd.Process.Signal(s); err != nil {
+				t.Errorf("%v: %v", signals, err)
+			}
+		}
+		for range lines {
+		}
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%v: ended with %v", signals, err)
+		}
+	}
+}
+
 // At SIGHUP the sidecar goes on with the discovery that the configuration names now; one that cannot be read changes
 // nothing. SIGTERM still ends it cleanly.
 func TestHangup(t *testing.T) {
@@ -61,23 +117,7 @@
 			{"classes": [{"name": "read", "effect": "read_like", "hard_limit_ms": 1000}], "discovery": "subscribe"}}`, discovery)
 	}
 	write(config(first))
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "BE_PETRELHOOK=1", "LB_CONFIG="+path)
-	out, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	lines := make(chan string, 1000)
-	go func() {
-		defer close(lines)
-		for in := bufio.NewScanner(out); in.Scan(); {
-			lines <- in.Text()
-		}
-	}()
+	cmd, lines := start(t, path)
 	wait := func(calls <-chan net.Conn) net.Conn {
 		t.Helper()
 		select {
