Learn from quick answers that servers hold more than the thresholds by rating say

At fault: `fleetShed` and `full` in balance/share.go: `shedFrom`, `shedAll` and `fullAt` are requests by rating, as they fitted one deployment. Ratings have another scale elsewhere, and requests that wait for something else (`io_ms`) fill no core. Now they are multiplied by a room that each sidecar learns: more while load would be shed and answers take hardly longer than the quickest, less as soon as they take longer.

--- a/balance/share.go
+++ b/balance/share.go
@@ -36,6 +36,10 @@
 	fullAt       = 1.3  // requests at a server, by its size, above which it is passed over
 	shedFrom     = 0.7  // requests at all servers, by their sizes, above which load is shed
 	shedAll      = 1.8  // ... and all of it that may be
+	roomSlow     = 0.06 // part of the aim beyond the quickest answers
+	mostRoom     = 3    // times these figures that servers are held to bear at most
+	roomMore     = 0.01 // step of that for each request while answers are quick, though load would be shed
+	roomLess     = 0.05 // ... and while they are slow
 )
 
 // shareTimer is the token of the timer of messages.
@@ -307,7 +311,7 @@
 // full: all sidecars together have so much at the server that more would wait for too long. One that fails is
 // empty, but no better.
 func (b *Balancer) full(s *server) bool {
-	return b.failing(s) || s.elsewhere+float64(s.inFlight)+1 > math.Max(2, fullAt*b.able(s))
+	return b.failing(s) || s.elsewhere+float64(s.inFlight)+1 > math.Max(2, fullAt*b.room*b.able(s))
 }
 
 // fleetShed is the part of the load to shed, by what all sidecars together have at the servers in use.
@@ -331,6 +335,19 @@
 		b.ownHeld += (own - b.ownHeld) / partSpan
 		b.allHeld += (has - b.allHeld) / partSpan
 	}
-	b.over = has/can - shedFrom
+	b.over = has/can/b.room - shedFrom
+	b.learnRoom()
 	return bound(b.over/(shedAll-shedFrom), 0, maxShed)
 }
+
+// learnRoom learns how much more than the thresholds say servers hold without being slow: ratings are on a
+// scale of their own, and requests that wait for something else fill no server. It goes by answers that are
+// hardly slower than the quickest: once they take longer, servers are close to choking.
+func (b *Balancer) learnRoom() {
+	switch slower := (b.pressure - b.quickest) / (1 - b.quickest); {
+	case slower > 2*roomSlow:
+		b.room = math.Max(1, b.room*(1-roomLess))
+	case slower < roomSlow && b.over > 0 && b.slowN == recent && b.informed():
+		b.room = math.Min(mostRoom, b.room*(1+roomMore))
+	}
+}
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -392,3 +392,32 @@
 		}
 	}
 }
+
+// The thresholds of what servers hold go by their rating, whose scale is each deployment's own. Where all hold so much
+// that load would be shed, but answers stay as quick as ever, less and less of it is; where answers are slow, it goes on.
+func TestQuickAnswersShowThatThereIsRoom(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		g, other := newRig(t, shareConfig(0), fleet(4)...), newRig(t, shareConfig(1), fleet(4)...)
+		g.b.quickest, g.b.pressure, g.b.slowness, g.b.slowN = 0.2, 0.2, 0.2, recent
+		took := 0.2 * g.b.cfg.Classes[safeClass].Aim
+		if slow {
+			took *= 4
+		}
+		var refused [2]int // of the first and the last requests
+		for i := range 400 {
+			g.now, other.now = g.now+10, other.now+10
+			for _, s := range other.b.servers {
+				s.inFlight = 1 + i%2 // each change is told
+			}
+			g.do(Message{From: 1, Data: other.posted()})
+			if id, acts := g.ask(safeClass); has(acts, Refuse) {
+				refused[i/200]++
+			} else {
+				g.answer(id, 0, OK, took)
+			}
+		}
+		if refused[0] == 0 || !slow && refused[1] > refused[0]/2 || slow && refused[1] < refused[0]/2 {
+			t.Errorf("slow answers: %v; refused: %v", slow, refused)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -30,6 +30,7 @@
 	heardAt float64            // ... when one last did
 	ownHeld float64            // mean of this sidecar's requests at servers while others were heard
 	allHeld float64            // ... and of those of all sidecars
+	room    float64            // times the thresholds that servers hold without being slow
 	told    []*server          // servers that it is told of
 
 	tellAgain float64         // when all that stands is told again
@@ -236,7 +237,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, heard: map[int]*peer{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
-		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1, endAt: math.Inf(1),
+		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1, endAt: math.Inf(1), room: 1,
 		spare: repeatBurst / 2,
 	}
 	for i := range cfg.Classes {
