Test a connection that is taken as its idle time ends, and free what was read ahead

The reader of a connection may have seen its idle deadline while the connection was just taken: it must go on reading. It does (`read` in internal/sidecar/upstream.go); no test failed without that, now one does. And the memory of bytes read ahead of a further request is given back once they are read.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -80,7 +80,9 @@
 // runs, and waits no more once that byte, of a further request, has come. So we read on.
 func (c *headConn) read(p []byte) (int, error) {
 	if n := copy(p, c.ahead); n > 0 {
-		c.ahead = c.ahead[n:]
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil // its memory is free again
+		}
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -244,6 +245,42 @@
 	eventually(t, "the place is given back", func() bool { return u.opened() == 0 })
 }
 
+// deadlineFirst is a connection whose first read sees a deadline.
+type deadlineFirst struct {
+	net.Conn
+	seen bool
+}
+
+func (c *deadlineFirst) Read(p []byte) (int, error) {
+	if !c.seen {
+		c.seen = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// A connection that is taken in the moment in which its idle time ends carries its request all the same: its reader has
+// seen the deadline by then, but not that it is taken.
+func TestTakenAsTheIdleTimeEnds(t *testing.T) {
+	p := newPeer(t, says(okAnswer))
+	nc, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	u := testUpstream(t, 9)
+	x := newExchange("GET")
+	x.begun.Store(true)
+	close(x.sent)
+	left := &quota{Reader: &deadlineFirst{Conn: nc}}
+	c := &conn{Conn: nc, to: &endpoint{addr: p.addr}, addr: p.addr, in: bufio.NewReader(left), left: left, x: x}
+	io.WriteString(nc, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	go u.read(c)
+	if r := wait(t, x.done); r.result != balance.OK {
+		t.Errorf("result %v (%v)", r.result, r.err)
+	}
+}
+
 // A server's close is noticed while the connection is idle, so that no request is written to it.
 func TestAPeersCloseIsNoticedWhileIdle(t *testing.T) {
 	conns := make(chan net.Conn, 2)
