Call discovery again in time for what counts as told 6 s after it is back

In the module, driven over all states of the back-off with 1 to 1,200 sidecars and 10 or 20 s of ask_within_ms, the time from the beginning of a failed call (discovery may be back just after) to the list, with 1 s for its answer, was up to 10.8 s where calls are refused, 13.8 s where they are given up after 3 s, 14.3 s where they hang, and 12.3 s after a watch fell silent. Told counts as after 6 s. Ruled out: the first call after the start (TestFirstCallComesInTimeInLargeFleets), the agent's calls (DrainGrace/4). At fault: balance/balance.go, askAgain and the case of ListSilent, bounded by ask_within_ms alone.

Change: what is left of the 6 s, less 1 s for the answer and less what the failed call, or the silence, has taken already (askLeft), bounds the pause. The spread of the calls of many sidecars over it stays as it was. Where discovery needs more than 6 s to answer all (60 ms a call, 300 sidecars), no schedule of calls can help.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,9 @@
 	askTurn      = 60   // ms of discovery's time for a call, at the most that was seen
 	leastCall    = 1200 // ms to wait for discovery's answer at first: time is left for another call
 	mostCall     = 3500 // ... and at most: it gives calls up itself after 3 s
+	toldAfter    = 6000 // ms after which a change counts as told, by the terms, once discovery can be reached
+	answerTime   = 1000 // ... the part of it kept for discovery's answer
+	silenceTime  = 2500 // ... and the part in which silence is noticed
 	leastPause   = 20   // ms between two calls to an agent at the least
 	agentCalls   = 4    // calls to an agent within the time that the drain rule leaves, at the least
 )
@@ -75,7 +78,7 @@
 // ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists. The
 // next answer is awaited for longer where one did not come: discovery may just be slow.
 func (b *Balancer) ask() {
-	b.asking = true
+	b.asking, b.askedAt = true, b.now
 	wait := math.Max(leastCall, b.askSpan()) * float64(int(1)<<min(b.asks, 4))
 	b.emit(Action{Kind: Watch, At: math.Min(wait, mostCall)})
 }
@@ -649,7 +652,7 @@
 		return
 	case ListSilent: // what is missed counts as told some seconds later: they are needed for the next call
 		b.asking = false
-		b.askWithin(b.askSpan())
+		b.askWithin(math.Min(b.askSpan(), b.askLeft(silenceTime)))
 		return
 	case ListMoved:
 		b.ask()
@@ -657,7 +660,7 @@
 	case ListFull, ListCached:
 		b.markUnlisted(ev.Servers)
 	}
-	b.asks = 0
+	b.asks, b.askedAt = 0, math.Inf(1)
 	for i := range ev.Servers {
 		b.update(&ev.Servers[i])
 	}
@@ -700,7 +703,16 @@
 		b.askWithin(bound(b.cfg.DrainGrace/agentCalls, leastPause, askPause))
 		return
 	}
-	b.askWithin(math.Max(askPause, b.askSpan()) * float64(int(1)<<min(b.asks-1, 4)))
+	b.askWithin(math.Min(b.askLeft(0), math.Max(askPause, b.askSpan())*float64(int(1)<<min(b.asks-1, 4))))
+}
+
+// askLeft is the time for the next call, after so much has passed: discovery may be back since the failed
+// call began, and what changes then counts as told a while later. One that took longer than any was answered.
+func (b *Balancer) askLeft(passed float64) float64 {
+	if call := b.now - b.askedAt; call < 2*mostCall {
+		passed = math.Max(passed, call)
+	}
+	return math.Max(askPause, toldAfter-answerTime-passed)
 }
 
 // askSpan is the time in which discovery can answer all sidecars. An agent answers just one.
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -345,6 +345,41 @@
 	}
 }
 
+// A change counts as told 6 s after discovery had it and could be reached, also while calls fail: after one that hung for
+// 3.5 s the next came up to 5 s later. However calls fail, and however often, one that began just before discovery was
+// back leaves time for the next one and its answer. So does a watch that fell silent.
+func TestTheNextCallComesBeforeAChangeCountsAsTold(t *testing.T) {
+	const told, answer, silence = 6000, 1000, 2500
+	worst := map[string]float64{}
+	for _, peers := range []int{1, 8, 80, 300, 1200} {
+		for seed := range 40 {
+			for how, hangs := range map[string]float64{"refused": 0, "given up late": 3000, "no answer": math.Inf(1)} {
+				cfg := baseConfig()
+				cfg.Subscribe, cfg.Seed, cfg.Peers, cfg.AskWithin = true, uint64(seed), peers, 10000*float64(1+seed%2)
+				g := newRig(t, cfg, fleet(3)...)
+				g.now = g.nextCall(g.acts)
+				for range 9 {
+					began := g.now
+					call := g.do(Timer{Token: listTimer})
+					g.now += math.Min(call[0].At, hangs)
+					g.now = g.nextCall(g.do(ServerList{Kind: ListFailed}))
+					worst[how] = math.Max(worst[how], g.now+answer-began)
+				}
+				g.do(Timer{Token: listTimer})
+				g.do(ServerList{Kind: ListDelta})
+				g.now += 60000
+				heard := g.now - silence
+				worst["silent"] = math.Max(worst["silent"], g.nextCall(g.do(ServerList{Kind: ListSilent}))+answer-heard)
+			}
+		}
+	}
+	for how, ms := range worst {
+		if ms > told || ms < told/4 {
+			t.Errorf("%s: the list is had after %.0f ms", how, ms)
+		}
+	}
+}
+
 // nextCall is when the sidecar calls discovery, by what it has just asked for.
 func (g *rig) nextCall(acts []Action) float64 {
 	for _, a := range acts {
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,6 +41,7 @@
 	drift     float64         // mean step of learn
 	asks      int             // failed list calls in a row
 	asking    bool            // subscribed, or about to be
+	askedAt   float64         // when the call that is out was made; far ahead once it was answered
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
