Be ready within 5 s also where no list of servers is to be had

Seen: 300 loops in virtual time that all start at once, with no list of their own and a discovery that is overrun, down, hanging or silent after its head: none is ready after 10 s, where nine in ten have to be. With a list they are ready at once, also with an old one. At fault: internal/sidecar/loop.go, list: only a server that is up makes a sidecar ready.

Change: 5 s after its start a sidecar is ready whatever it knows. Requests then wait for a server until their aim has passed, and are refused with a hold-off, which does no harm; a client that is not even told so can only wait.

--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -175,3 +175,33 @@
 		}
 	}
 }
+
+// All processes of a fleet that start at once are ready within 10 s, whatever discovery does and whatever they know.
+func TestReadyInTime(t *testing.T) {
+	for _, down := range []string{"", "refuse", "hang", "head"} {
+		for name, known := range map[string]string{
+			"a list": known("127.0.0.1:1"), "an empty one": catalog(1, true), "none": "null",
+			"an old one": catalog(1, true, instance("gone", "127.0.0.1:2", "draining")),
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fleetDiscovery{}
+				d.turnTo(down, catalog(2, true, instance("s-0", "127.0.0.1:1", "up")))
+				if down == "" {
+					d.late = 20 * time.Second // overrun: none gets an answer in time
+				}
+				fleet, stop := d.start(t, known)
+				defer stop()
+				time.Sleep(10 * time.Second)
+				ready := 0
+				for _, l := range fleet {
+					if l.healthy.Load() {
+						ready++
+					}
+				}
+				if ready < fleetSize*9/10 {
+					t.Errorf("discovery %q, known %s: %d of %d are ready after 10 s", down, name, ready, fleetSize)
+				}
+			})
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -14,6 +14,10 @@
 	"barleytack/balance"
 )
 
+// readyAfter is when a sidecar is ready without any server in its list: clients are told at once that there is none, and
+// when to come again, while discovery may be away for long. A process has 10 s to be ready.
+const readyAfter = 5 * time.Second
+
 // answerMargin is how long before the client's time is up its answer is due: timers and writes take time.
 const answerMargin = 4 // ms
 
@@ -106,6 +110,8 @@
 	l.generation = l.profile.Known.Generation // the first watch, begun by Start, asks for what came after it
 	l.carryOut(l.b.Start(l.clock.Now()))
 	l.list(l.profile.Known, balance.ListCached)
+	ready := time.AfterFunc(readyAfter, func() { l.healthy.Store(true) })
+	defer ready.Stop()
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	status := time.NewTicker(statusEvery)
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -511,7 +511,7 @@
 	return read
 }
 
-// Ready only once a server is known.
+// Ready only once a server is known, for a while: see TestReadyInTime.
 func TestHealth(t *testing.T) {
 	health := "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
 	r := newRig(t, deadAddr(t), catalog(1, true))
