Notice that a client has gone behind any number of further requests

Seen: a client that had sent over 16 KiB of further requests, or some of whose requests sent at once were answered already, could leave unnoticed, and its request was sent on. And of requests sent at once, the second one was hung up with no answer when SIGTERM came, as its connection passed for idle. Ruled out: requests that wait for the loop, for their connection, for the attempt before them or in the module; these are claimed or closed at once (TestAClientThatGoesAwayBeforeTheConnectionIsUp, TestNothingIsSentForAClientThatLeft). At fault: internal/sidecar/framing.go, read: it stopped reading ahead at maxAhead, and took a byte from what was read ahead for the one that net/http waits for. net/http reads no more before that byte is consumed, so nobody watched while the next ones were served. And idle was set by next() alone, though the next request may have come whole with the one before.

Change: while a handler runs, net/http's waiting read gets no byte at all; what comes is read ahead until the handler is done or the client has gone. Up to 128 KiB on a connection, more than the largest request, and up to 1/32 of the memory limit on all; whoever sends more before its answer passes for gone. A request handed to a handler makes its connection busy and restores the server's own read deadline.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -13,9 +13,21 @@
 	"time"
 )
 
-// maxAhead is how much is read of further requests while one is being answered. Clients send none; what comes beyond it
-// hides that its sender goes away.
-const maxAhead = 16 << 10
+// maxAhead is how much is read of further requests while one is being answered, and aheadPart of the memory limit how much
+// on all connections. Clients send one at a time, and the largest is smaller; who sends more hides that it goes away, and
+// passes for one that has gone.
+const (
+	maxAhead     = 2 * maxBody
+	aheadPart    = 1.0 / 32
+	defaultAhead = 4 << 20
+)
+
+func (l Limits) ahead() int64 {
+	if l.MemoryMB <= 0 {
+		return defaultAhead
+	}
+	return int64(aheadPart * float64(l.MemoryMB) * (1 << 20))
+}
 
 // headConn keeps the head of the present request as it came. net/http follows Transfer-Encoding where
 // Content-Length stands beside it and hides the latter, though the two may disagree where the request ends: what
@@ -23,13 +35,18 @@
 type headConn struct {
 	net.Conn
 	leaving *atomic.Int32 // see bounded
+	spare   *atomic.Int64 // bytes that may yet be read ahead, on all connections
+	taken   atomic.Int64  // ... of which it has these
 	ahead   []byte        // read while a handler runs; only the server's reads use it, one at a time
 
 	mu    sync.Mutex // the server reads in the background while a handler runs
 	head  []byte
 	whole bool
+	runs  bool // a handler
 	idle  bool // no byte of the next request was read
 	used  bool // there was a request before
+
+	wanted time.Time // the server's own read deadline
 }
 
 // longAgo as a deadline ends a read that has got nothing. Unlike a close, it does not take away what one has got.
@@ -53,7 +70,7 @@
 func (c *headConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.left() {
+	if c.wanted = t; c.left() {
 		t = longAgo
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -77,36 +94,82 @@
 }
 
 // read takes what was read ahead first. net/http waits for the client's going away by reading one byte while a handler
-// runs, and waits no more once that byte, of a further request, has come. So we read on.
+// runs, and waits no more once it has one of a further request. So it gets none: what comes is read ahead, until the
+// handler is done, which a deadline tells, or the client has gone.
 func (c *headConn) read(p []byte) (int, error) {
-	if n := copy(p, c.ahead); n > 0 {
-		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-			c.ahead = nil // its memory is free again
+	if len(p) > 1 || !c.handled() {
+		if n := c.unread(p); n > 0 {
+			return n, nil
 		}
-		return n, nil
-	}
-	n, err := c.Conn.Read(p)
-	if n == 0 || err != nil || len(p) > 1 || !c.headSeen() {
-		return n, err
+		return c.Conn.Read(p)
 	}
-	for buf := make([]byte, 512); len(c.ahead) < maxAhead; {
-		m, err := c.Conn.Read(buf)
-		c.ahead = append(c.ahead, buf[:m]...)
-		if errors.Is(err, os.ErrDeadlineExceeded) { // the handler is done
-			break
+	c.take()
+	for buf := p; ; {
+		n, err := c.Conn.Read(buf)
+		c.ahead = append(c.ahead, buf[:n]...)
+		if c.reserve(int64(n)); err == nil && (len(c.ahead) > maxAhead || c.spare.Load() < 0) {
+			err = errors.New("too much ahead of an answer")
 		}
-		if err != nil { // whoever sent it has gone
-			c.ahead = nil
+		if err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.drop()
+			}
 			return 0, err
 		}
+		if len(buf) == 1 { // most send nothing ahead
+			buf = make([]byte, 4<<10)
+		}
+	}
+}
+
+// unread takes some of what was read ahead.
+func (c *headConn) unread(p []byte) int {
+	n := copy(p, c.ahead)
+	c.release(int64(n))
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil // its memory is free again
 	}
-	return n, nil
+	return n
+}
+
+// drop forgets what was read ahead.
+func (c *headConn) drop() {
+	c.release(int64(len(c.ahead)))
+	c.ahead = nil
 }
 
-func (c *headConn) headSeen() bool {
+func (c *headConn) reserve(n int64) {
+	c.taken.Add(n)
+	c.spare.Add(-n)
+}
+
+// release gives back up to n bytes. The connection may be closed, and all given back, while one reads.
+func (c *headConn) release(n int64) {
+	for {
+		had := c.taken.Load()
+		if back := min(n, had); c.taken.CompareAndSwap(had, had-back) {
+			c.spare.Add(back)
+			return
+		}
+	}
+}
+
+// handled: a handler runs, or is about to: the head was seen, or all of it came with the request before.
+func (c *headConn) handled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.whole
+	return c.whole || c.runs || len(c.head) == 0
+}
+
+// take marks the present request as handed to a handler, or as good as. It may have come whole with the one before, and
+// the connection have passed for idle when such were to end.
+func (c *headConn) take() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left() {
+		c.Conn.SetReadDeadline(c.wanted)
+	}
+	c.runs, c.idle = true, false
 }
 
 // headEnd is the place just behind the empty line that ends a head; -1: there is none.
@@ -124,7 +187,7 @@
 func (c *headConn) next() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.whole, c.idle, c.used = c.head[:0], false, len(c.ahead) == 0, true
+	c.head, c.whole, c.runs, c.idle, c.used = c.head[:0], false, false, len(c.ahead) == 0, true
 }
 
 // fields tells the names of the header fields of the present request, in lower case; ok: its head was seen.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -99,6 +100,7 @@
 func (s *Server) Serve(stop context.Context, ln net.Listener) error {
 	failed := make(chan error, 1)
 	clients := newBounded(ln, s.loop.profile.Limits.inbound())
+	clients.ahead.Store(s.loop.profile.Limits.ahead())
 	s.loop.clients.Store(clients)
 	go func() { failed <- s.http.Serve(clients) }()
 	select {
@@ -141,6 +143,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := s.loop.clock.Now()
 	s.end(w)
+	if c, ok := req.Context().Value(headKey{}).(*headConn); ok {
+		c.take()
+	}
 	if req.ContentLength != 0 { // what is left of a body is read after the answer too, also by net/http
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTime))
 	}
@@ -299,6 +304,7 @@
 	taken, over  atomic.Int64  // connections since the start: with a place, and one too many
 	leaving      atomic.Int32  // which connections without a request are to end: none, leaveUsed or leaveAll
 	gone         chan struct{} // closed when all have ended, after leaveAll
+	ahead        atomic.Int64  // bytes that may yet be read ahead of answers
 
 	mu   sync.Mutex
 	open map[*place]struct{}
@@ -310,10 +316,12 @@
 )
 
 func newBounded(ln net.Listener, most int) *bounded {
-	return &bounded{
+	b := &bounded{
 		Listener: ln, places: make(chan struct{}, most), away: make(chan struct{}, turnedAway),
 		gone: make(chan struct{}), open: map[*place]struct{}{},
 	}
+	b.ahead.Store(defaultAhead)
+	return b
 }
 
 // leave ends the connections of which no byte of a further request was read. No more are accepted before leaveAll.
@@ -352,7 +360,7 @@
 		select {
 		case b.places <- struct{}{}:
 			b.taken.Add(1)
-			p := &place{headConn: headConn{Conn: c, idle: true, leaving: &b.leaving}, of: b}
+			p := &place{headConn: headConn{Conn: c, idle: true, leaving: &b.leaving, spare: &b.ahead}, of: b}
 			b.mu.Lock()
 			b.open[p] = struct{}{}
 			b.mu.Unlock()
@@ -379,6 +387,7 @@
 
 func (p *place) Close() error {
 	defer p.of.free(p)
+	defer p.release(math.MaxInt64)
 	return p.Conn.Close()
 }
 
