Test idle clients that fill 256 descriptors while discovery is away

No fault was found. 300 clients that send nothing come again as soon as they are closed or turned away, on a process with 256 descriptors, until 300 were turned away. When discovery is back, the sidecar gets the list, connects to a server and serves a request and /_health on a connection that was there before. What keeps it: internal/sidecar/server.go, Limits.inbound and Limits.upstream, and bounded.Accept, which turns away.

--- a/cmd/petrelhook/main_test.go
+++ b/cmd/petrelhook/main_test.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,7 +52,11 @@
 // start runs petrelhook and hands over what it logs.
 func start(t *testing.T, config string) (*exec.Cmd, <-chan string) {
 	t.Helper()
-	cmd := exec.Command(os.Args[0])
+	return startAs(t, exec.Command(os.Args[0]), config)
+}
+
+func startAs(t *testing.T, cmd *exec.Cmd, config string) (*exec.Cmd, <-chan string) {
+	t.Helper()
 	cmd.Env = append(os.Environ(), "BE_PETRELHOOK=1", "LB_CONFIG="+config)
 	out, err := cmd.StderrPipe()
 	if err != nil {
@@ -161,3 +169,99 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// While discovery is away, clients that send nothing fill all descriptors that there are for clients, and come again as
+// soon as they are turned away or closed. Discovery can still be called when it is back, servers be connected to, and
+// health and requests be served.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	away, err := net.Listen("tcp", "127.0.0.2:0") // where no client of this test gets its own port
+	if err != nil {
+		t.Fatal(err)
+	}
+	away.Close()
+	front, err := net.Listen("tcp", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "1", "limits": {"sockets": 256}, "settings":
+		{"classes": [{"name": "read", "effect": "read_like", "hard_limit_ms": 15000}], "discovery": "subscribe"}}`, front.Addr(), away.Addr())
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, lines := startAs(t, exec.Command("sh", "-c", `ulimit -n 256 && exec "$0"`, os.Args[0]), path)
+	if line := <-lines; !strings.Contains(line, "serving") {
+		t.Fatal(line)
+	}
+	client, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(client)
+	ask := func(request string) (int, string) {
+		t.Helper()
+		fmt.Fprint(client, request)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(body)
+	}
+	const health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+	ask(health)
+	var came, turnedAway atomic.Int32
+	stop := make(chan struct{})
+	var crowd sync.WaitGroup
+	for range 300 {
+		crowd.Go(func() {
+			for range 200 {
+				if c, err := net.Dial("tcp", front.Addr().String()); err == nil {
+					came.Add(1)
+					c.SetReadDeadline(time.Now().Add(patience))
+					if n, _ := c.Read(make([]byte, 100)); n > 0 {
+						turnedAway.Add(1)
+					}
+					c.Close()
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	defer crowd.Wait()
+	defer close(stop)
+	for turnedAway.Load() < 300 { // all places are taken
+		if code, _ := ask(health); code != http.StatusOK && code != http.StatusServiceUnavailable {
+			t.Fatalf("health: %d", code)
+		}
+	}
+	server, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go http.Serve(server, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "hi") }))
+	defer server.Close()
+	back, err := net.Listen("tcp", away.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer back.Close()
+	go http.Serve(back, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":%q,"zone":"a","machineType":"m",
+			"cell":0,"lifecycle":"up","weight":1.0,"startedAtMs":0}]}`+"\n", server.Addr())
+	}))
+	code, body := ask("GET /read HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t\r\nX-Qos: read\r\nX-Expires-In: 15000m\r\n\r\n")
+	if code != http.StatusOK || body != "hi" {
+		t.Errorf("status %d, %q", code, body)
+	}
+	if code, _ := ask(health); code != http.StatusOK {
+		t.Errorf("health: %d", code)
+	}
+}
