Give cold servers no budget for what dead or distrusted servers leave

Seen: summed over a fleet in virtual time (2 to 300 balancers, retries included), a server that had just started was sent up to 2.6 times what it bears (N + 2 root N + 2 in the time that the settings name) where the other servers died, up to 2.0 times with requests that must not run twice while others had errors, and 1.1 times where all servers restarted at once. At fault: balance/balance.go, coldBudget: the answers of the last seconds, times the server's part of the weights that are left now. Where those of the others leave the pool, the part grows to 1 while the answers are still those of all.

Change: the meter counts each answer as a part of the weights of the servers that were in use when it came, whatever their errors (yield), and the budget is that times the server's weight. TestAssumedAnswersGiveNoColdBudget sets the new meter in place of the one that the budget went by; its bounds stand.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -402,9 +402,12 @@
 
 // enter sets the weights of this pick, grows the running values and returns the sum of weights.
 func (b *Balancer) enter(pool []*server, r *request, repeat, all bool) float64 {
-	total, fresh := 0.0, false
+	total, inUse, fresh := 0.0, 0.0, false
 	for _, s := range pool {
 		s.weight = 0
+		if s.State == Ready && !b.resting(s) {
+			inUse += b.weight(s) / b.health(s)
+		}
 		if !b.allowed(r, s) || !all && (b.resting(s) || r.class.Effect == Unsafe && b.health(s) < trusted) {
 			continue
 		}
@@ -419,8 +422,8 @@
 			s.running = math.Min(s.running+s.weight, total)
 		}
 	}
-	if !repeat {
-		b.pool = total
+	if !repeat && inUse > 0 {
+		b.inUse = inUse
 	}
 	return total
 }
@@ -490,11 +493,11 @@
 func (b *Balancer) cold(s *server) bool { return b.now < s.coldSince+b.cfg.ColdTime }
 
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
-// what warm servers of its size answer of this sidecar's requests, lowered by its warmth. Answers count, not
-// requests, which clients repeat in overload, and few are assumed: else small sidecars broke the rule.
+// what servers of its weight answer of this sidecar's requests, as they did when those were answered: what
+// others leave, as they died or are not trusted with what must not run twice, is no budget. Answers count,
+// not requests, which clients repeat in overload, and few are assumed: else small sidecars broke the rule.
 func (b *Balancer) coldBudget(s *server) bool {
-	share := s.weight / math.Max(b.pool, s.weight)
-	fill := b.answers.rate(b, 0, 1) * share * math.Max(1, b.cfg.FallMultiple/2)
+	fill := b.yield.rate(b, 0, 1/math.Max(b.inUse, s.weight)) * s.weight * math.Max(1, b.cfg.FallMultiple/2)
 	most := math.Max(1, fill*b.cfg.FallTime/4)
 	s.tokens, s.tokensAt = math.Min(s.tokens+fill*(b.now-s.tokensAt), most), b.now
 	return s.tokens >= 1
@@ -584,6 +587,7 @@
 		s.pardon()
 		b.saw(s, news{answered: true})
 		b.answers.rate(b, 1, 0)
+		b.yield.rate(b, 1/math.Max(b.inUse, 1e-6), 0)
 		b.time(ev.Took / r.class.Aim)
 		if b.now <= r.arrived+r.class.Aim {
 			r.stats.served++
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -407,7 +407,7 @@
 	if g.b.coldBudget(s); s.tokens > 0.2 { // with ten assumed: 1
 		t.Fatalf("%.2f sends in two seconds", s.tokens)
 	}
-	g.b.answers.rate(g.b, 400, 0) // of two hundred answers a second it may have its part
+	g.b.yield.rate(g.b, 400/g.b.inUse, 0) // of two hundred answers a second it may have its part
 	s.tokens, s.tokensAt = 0, g.now-2000
 	if g.b.coldBudget(s); s.tokens < 0.5 {
 		t.Fatalf("%.2f sends in two seconds for a busy sidecar", s.tokens)
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,7 +34,8 @@
 	told    []*server          // servers that it is told of
 
 	tellAgain float64         // when all that stands is told again
-	pool      float64         // sum of weights at the last first pick
+	inUse     float64         // sum of the weights of the servers in use at the last first pick, whatever their errors
+	yield     meter           // answers, each as a part of that
 	kinds     map[int]float64 // learned logarithm of size by kind
 	zones     map[int]float64 // ... and by zone
 	learned   float64         // times learn was called
