--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// lists is how many sidecars have the present list, and when the last one got it.
+func (d *fleetDiscovery) lists() (n int, last time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.told {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return len(d.told), last
+}
+
 // start runs a fleet of sidecars, without their clients, until the end of the test.
 func (d *fleetDiscovery) start(t *testing.T, known string) (fleet []*Loop, stop func()) {
 	t.Helper()
@@ -155,21 +167,17 @@
 				_, stop := d.start(t, known("127.0.0.1:1"))
 				defer stop()
 				time.Sleep(20 * time.Second)
-				if len(d.told) < fleetSize {
-					t.Errorf("%d of %d sidecars have a list after 20 s", len(d.told), fleetSize)
+				if n, _ := d.lists(); n < fleetSize {
+					t.Errorf("%d of %d sidecars have a list after 20 s", n, fleetSize)
 				}
 				d.turnTo(down, "")
 				time.Sleep(away)
 				d.turnTo("", catalog(2, true, instance("s-0", "127.0.0.1:1", "draining")))
 				back := time.Now()
 				time.Sleep(30 * time.Second)
-				synctest.Wait()
-				var last time.Duration
-				for _, at := range d.told {
-					last = max(last, at.Sub(back))
-				}
-				if len(d.told) < fleetSize || last > 6*time.Second {
-					t.Errorf("%s for %v: %d of %d sidecars have the list, the last %v after the return", down, away, len(d.told), fleetSize, last)
+				n, at := d.lists()
+				if last := at.Sub(back); n < fleetSize || last > 6*time.Second {
+					t.Errorf("%s for %v: %d of %d sidecars have the list, the last %v after the return", down, away, n, fleetSize, last)
 				}
 			})
 		}
