--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,9 @@
 	askTurn      = 60   // ms of discovery's time for a call, at the most that was seen
 	leastCall    = 1200 // ms to wait for discovery's answer at first: time is left for another call
 	mostCall     = 3500 // ... and at most: it gives calls up itself after 3 s
+	toldAfter    = 6000 // ms after which a change counts as told, by the terms, once discovery can be reached
+	answerTime   = 1000 // ... the part of it kept for discovery's answer
+	silenceTime  = 2500 // ... and the part in which silence is noticed
 	leastPause   = 20   // ms between two calls to an agent at the least
 	agentCalls   = 4    // calls to an agent within the time that the drain rule leaves, at the least
 )
@@ -75,7 +78,7 @@
 // ask subscribes to the list, at the start and after a failed call: changes cost less than whole lists. The
 // next answer is awaited for longer where one did not come: discovery may just be slow.
 func (b *Balancer) ask() {
-	b.asking = true
+	b.asking, b.askedAt = true, b.now
 	wait := math.Max(leastCall, b.askSpan()) * float64(int(1)<<min(b.asks, 4))
 	b.emit(Action{Kind: Watch, At: math.Min(wait, mostCall)})
 }
@@ -399,9 +402,12 @@
 
 // enter sets the weights of this pick, grows the running values and returns the sum of weights.
 func (b *Balancer) enter(pool []*server, r *request, repeat, all bool) float64 {
-	total, fresh := 0.0, false
+	total, inUse, fresh := 0.0, 0.0, false
 	for _, s := range pool {
 		s.weight = 0
+		if s.State == Ready && !b.resting(s) {
+			inUse += b.weight(s) / b.health(s)
+		}
 		if !b.allowed(r, s) || !all && (b.resting(s) || r.class.Effect == Unsafe && b.health(s) < trusted) {
 			continue
 		}
@@ -416,8 +422,8 @@
 			s.running = math.Min(s.running+s.weight, total)
 		}
 	}
-	if !repeat {
-		b.pool = total
+	if !repeat && inUse > 0 {
+		b.inUse = inUse
 	}
 	return total
 }
@@ -487,11 +493,11 @@
 func (b *Balancer) cold(s *server) bool { return b.now < s.coldSince+b.cfg.ColdTime }
 
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
-// what warm servers of its size answer of this sidecar's requests, lowered by its warmth. Answers count, not
-// requests, which clients repeat in overload, and few are assumed: else small sidecars broke the rule.
+// what servers of its weight answer of this sidecar's requests, as they did when those were answered: what
+// others leave, as they died or are not trusted with what must not run twice, is no budget. Answers count,
+// not requests, which clients repeat in overload, and few are assumed: else small sidecars broke the rule.
 func (b *Balancer) coldBudget(s *server) bool {
-	share := s.weight / math.Max(b.pool, s.weight)
-	fill := b.answers.rate(b, 0, 1) * share * math.Max(1, b.cfg.FallMultiple/2)
+	fill := b.yield.rate(b, 0, 1/math.Max(b.inUse, s.weight)) * s.weight * math.Max(1, b.cfg.FallMultiple/2)
 	most := math.Max(1, fill*b.cfg.FallTime/4)
 	s.tokens, s.tokensAt = math.Min(s.tokens+fill*(b.now-s.tokensAt), most), b.now
 	return s.tokens >= 1
@@ -581,6 +587,7 @@
 		s.pardon()
 		b.saw(s, news{answered: true})
 		b.answers.rate(b, 1, 0)
+		b.yield.rate(b, 1/math.Max(b.inUse, 1e-6), 0)
 		b.time(ev.Took / r.class.Aim)
 		if b.now <= r.arrived+r.class.Aim {
 			r.stats.served++
@@ -649,7 +656,7 @@
 		return
 	case ListSilent: // what is missed counts as told some seconds later: they are needed for the next call
 		b.asking = false
-		b.askWithin(b.askSpan())
+		b.askWithin(math.Min(b.askSpan(), b.askLeft(silenceTime)))
 		return
 	case ListMoved:
 		b.ask()
@@ -657,7 +664,7 @@
 	case ListFull, ListCached:
 		b.markUnlisted(ev.Servers)
 	}
-	b.asks = 0
+	b.asks, b.askedAt = 0, math.Inf(1)
 	for i := range ev.Servers {
 		b.update(&ev.Servers[i])
 	}
@@ -700,7 +707,16 @@
 		b.askWithin(bound(b.cfg.DrainGrace/agentCalls, leastPause, askPause))
 		return
 	}
-	b.askWithin(math.Max(askPause, b.askSpan()) * float64(int(1)<<min(b.asks-1, 4)))
+	b.askWithin(math.Min(b.askLeft(0), math.Max(askPause, b.askSpan())*float64(int(1)<<min(b.asks-1, 4))))
+}
+
+// askLeft is the time for the next call, after so much has passed: discovery may be back since the failed
+// call began, and what changes then counts as told a while later. One that took longer than any was answered.
+func (b *Balancer) askLeft(passed float64) float64 {
+	if call := b.now - b.askedAt; call < 2*mostCall {
+		passed = math.Max(passed, call)
+	}
+	return math.Max(askPause, toldAfter-answerTime-passed)
 }
 
 // askSpan is the time in which discovery can answer all sidecars. An agent answers just one.
