Let the learned limit fall to its start while servers choke

At fault: balance/share.go, learnLimit: the limit fell no lower than 1.2 times what was in service lately. When servers choke they do a third of that, and as a crowd grows before answers show it, and one answer counts for at most 2.5 times the least, the estimate is too high in a crowd by itself.

TestTheLimitFollowsTheAnswersOfAll wants it to fall all the way now and fails with the former line; the floor that TestTheLimitDoesNotFallForWhatIsNoLoad asks for is the start of the limit, as it was for the thresholds.

--- a/balance/share.go
+++ b/balance/share.go
@@ -47,7 +47,7 @@
 	limitUsed     = 0.75 // part of the limit that must be in use to raise it
 	limitRise     = 0.5  // part by which it rises in a second while answers are quick
 	limitFall     = 0.9  // ... and falls while they are slow
-	queuePart     = 1.2  // what servers may hold at the least, to what lately was in service at once
+	queuePart     = 1.2  // part of what lately was in service under which it falls no further than its start
 	serviceSpan   = 3e4  // ms in which that is forgotten
 )
 
@@ -397,7 +397,7 @@
 // are on a scale of their own, and requests that wait for something else fill no server. While answers take
 // hardly longer than the least, more requests do no harm; then servers queue. By Little's law what they hold,
 // times the least over the present mean time, is in service: so much they can do, and if answers are slow at
-// less, something else than load makes them so.
+// less, something else than load makes them so. Choked servers do less, so that holds under the start only.
 func (b *Balancer) learnLimit() {
 	l, since := &b.latency, b.now-b.learnedAt
 	b.learnedAt = b.now
@@ -412,7 +412,7 @@
 	b.inService = math.Max(b.inService*math.Exp(-since/serviceSpan), b.crowd*l.least/math.Max(mean, l.least))
 	switch slower := (mean - l.least) / (1 - l.least); {
 	case slower > 2*limitSlow:
-		least := math.Min(b.limit, queuePart*b.inService)
+		least := math.Min(math.Min(b.limit, shedFrom), queuePart*b.inService)
 		b.limit = math.Max(least, b.limit*math.Exp(-limitFall*since/1000))
 	case slower < limitSlow && b.crowd > limitUsed*b.limit:
 		b.limit *= math.Exp(limitRise * since / 1000)
