Test what a further attempt tells, and a reset where an answer has no length

With a constant time in place of what is left, the first fails (told 8900 ms, then 8900 ms); the second was not tried on broken code.

--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -329,3 +329,32 @@
 		}
 	})
 }
+
+// A further attempt tells its server the time that is left to the client, not that which there was at first.
+func TestAFurtherAttemptTellsWhatIsLeft(t *testing.T) {
+	const slow = 60 * time.Millisecond
+	told := make(chan float64, 2)
+	var requests atomic.Int32
+	answers := func(c net.Conn, req *http.Request, _ string) bool {
+		left, err := parseWait(req.Header.Get("X-Expires-In"))
+		if err != nil {
+			t.Error(err)
+		}
+		told <- left
+		if requests.Add(1) == 1 {
+			time.Sleep(slow) // as a slow server, which then fails
+			io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		io.WriteString(c, okAnswer)
+		return true
+	}
+	r := withServers(t, newPeer(t, answers).addr, newPeer(t, answers).addr)
+	if resp, _ := r.ask(look("t")); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	first, second := wait(t, told), wait(t, told)
+	if first > 9000 || second > first-float64(slow/time.Millisecond) || second < 1 {
+		t.Errorf("told %v ms, then %v ms", first, second)
+	}
+}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -60,12 +60,17 @@
 		"too large":           {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), balance.Failed, false},
 		"broken off":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", balance.Reset, false},
 		"of unknown length":   {"HTTP/1.1 200 OK\r\n\r\nhi", balance.Reset, false},
+		"no length, reset":    {"HTTP/1.1 200 OK\r\n\r\nhi", balance.Reset, false},
 		"nothing":             {"", balance.Reset, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ends := name == "broken off" || name == "of unknown length" || name == "nothing"
 			p := newPeer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
 				io.WriteString(conn, c.answer)
+				if name == "no length, reset" { // a reset is no end
+					conn.(*net.TCPConn).SetLinger(0)
+					return false
+				}
 				return !ends
 			})
 			u := testUpstream(t, 9)
