--- a/review/standin/kit/client.go
+++ b/review/standin/kit/client.go
@@ -41,8 +41,24 @@
 	// answered.
 	Patience time.Duration
 
-	mu   sync.Mutex
-	idle []*clientConn
+	mu       sync.Mutex
+	idle     []*clientConn
+	open     int // requests that are open now
+	mostOpen int
+}
+
+// MostOpen returns the largest number of requests that were open at once.
+func (c *Client) MostOpen() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mostOpen
+}
+
+func (c *Client) countOpen(change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += change
+	c.mostOpen = max(c.mostOpen, c.open)
 }
 
 type clientConn struct {
@@ -54,8 +70,10 @@
 // Do sends a request and waits for its answer. If a kept connection ends without a byte of an answer, the client sends
 // the request once more on a new connection.
 func (c *Client) Do(r Request) Result {
+	c.countOpen(1)
+	defer c.countOpen(-1)
 	target := "/" + r.Class + "?sid=" + r.Sid
-	c.Registry.Add(Sent{ID: r.ID, Method: r.Method, Target: target, Key: r.Key, Body: r.Body})
+	c.Registry.Add(NewSent(r.ID, r.Method, target, r.Key, r.Body))
 	res := Result{Request: r, SentAt: time.Now()}
 	res.Status, res.Body, res.Err = c.exchange(r, target)
 	res.Duration = time.Since(res.SentAt)
--- a/review/standin/kit/pick.go
+++ b/review/standin/kit/pick.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -13,7 +14,18 @@
 )
 
 // Sent is a request as a client sent it, as a request of its own.
-type Sent struct{ ID, Method, Target, Key, Body string }
+type Sent struct {
+	ID, Method, Target, Key string
+	BodyLength              int
+	BodyHash                uint64
+}
+
+// NewSent returns the form of a request.
+func NewSent(id, method, target, key, body string) Sent {
+	h := fnv.New64a()
+	io.WriteString(h, body)
+	return Sent{ID: id, Method: method, Target: target, Key: key, BodyLength: len(body), BodyHash: h.Sum64()}
+}
 
 // Registry holds all requests that clients sent as requests of their own.
 type Registry struct {
@@ -120,10 +132,7 @@
 		report := fmt.Sprintf("TEXT busy=0.10, rif=%d", p.inFlight.Load())
 		return respond(c, "200 OK", "Endpoint-Load-Metrics: "+report+"\r\n", report)
 	}
-	s := Sent{
-		ID: req.Header.Get("X-Trace-Id"), Method: req.Method, Target: req.RequestURI,
-		Key: req.Header.Get("Idempotency-Key"), Body: body,
-	}
+	s := NewSent(req.Header.Get("X-Trace-Id"), req.Method, req.RequestURI, req.Header.Get("Idempotency-Key"), body)
 	if s.ID == "" {
 		return respond(c, "404 Not Found", "", "no id")
 	}
--- a/review/standin/kit/site.go
+++ b/review/standin/kit/site.go
@@ -25,10 +25,33 @@
  "tier": 0, "tiers": ["pick-api"], "value_by": "request", "weights": "nominal", "zone": 0,
  "zones": ["hall-a", "hall-b", "hall-c"]}`
 
+// CensusJSON is the settings object of the other deployment, wetland-census, without messages between sidecars.
+const CensusJSON = `{"classes": [
+  {"effect": "read_like", "group": "all", "hard_limit_ms": 2000.0, "late_worth": 0.0, "name": "tally-read", "on_time_ms": 600.0, "stream": false, "window_ms": 5000.0, "worth": 3.0},
+  {"effect": "idempotency_key", "group": "all", "hard_limit_ms": 4000.0, "late_worth": 0.0, "name": "sheet-submit", "on_time_ms": 1000.0, "stream": false, "window_ms": 4000.0, "worth": 8.0},
+  {"effect": "non_idempotent", "group": "all", "hard_limit_ms": 6000.0, "late_worth": 0.0, "name": "day-close", "on_time_ms": 1200.0, "stream": false, "window_ms": 5000.0, "worth": 3.0}],
+ "clients": {"marks_retry": false}, "discovery": "subscribe",
+ "kinds": ["fast-single", "std-single", "slow-dual"],
+ "limits": {"cancel": true, "conn_idle_ms": 30000.0, "connect_timeout_ms": 250.0, "cpu_us_per_request": 0.0, "cpu_us_per_s": 40000, "max_attempts": 5, "max_retry_after_ms": 2000.0, "may_tell": false, "open_cap": 40000, "parallel_tries": true, "probes": true, "retry_after": true, "streams_per_conn": 1},
+ "my_number": 0, "peers_total": 2,
+ "penalties": {"connection": 0.0, "cross_zone": 0.22, "discovery": 0.0, "handshake": 0.0, "late_fail": 0.05, "moves": 0.0, "origin": 0.0, "peer": 0.01, "probe": 0.01, "waste": 0.05},
+ "quantum_ms": 5.0, "report": {"fields": [], "via": "silent"},
+ "result_mix": {"whole": 0.7, "worst_class": 0.1, "worst_tenant": 0.0, "worst_window": 0.2},
+ "rules": {"answer_slack_ms": 20.0, "ask_within_ms": 10000.0, "cold_from": 0.31, "cold_ms": 8800.0, "drain_grace_ms": 500.0, "fall_ms": 2000.0, "fall_multiple": 3.0},
+ "service_type": "mesh", "tenants": [], "tier": 0, "tiers": ["census-pool"], "value_by": "request", "weights": "nominal", "zone": 0,
+ "zones": ["hall-d", "hall-e", "hall-f"]}`
+
 // Settings returns the settings object of the sidecar with the given number.
-func Settings(number, total int) map[string]any {
+func Settings(number, total int) map[string]any { return parseSettings(SettingsJSON, number, total) }
+
+// CensusSettings returns the settings object of the sidecar with the given number in the other deployment.
+func CensusSettings(number, total int) map[string]any {
+	return parseSettings(CensusJSON, number, total)
+}
+
+func parseSettings(raw string, number, total int) map[string]any {
 	var s map[string]any
-	if err := json.Unmarshal([]byte(SettingsJSON), &s); err != nil {
+	if err := json.Unmarshal([]byte(raw), &s); err != nil {
 		panic(err)
 	}
 	s["my_number"], s["peers_total"] = number, total
@@ -103,3 +126,24 @@
 	}
 	return r
 }
+
+// censusMix holds the classes of the other deployment: 47, 34 and 19 of 100.
+var censusMix = classMix(47, 34, 19)
+
+// CensusTraffic returns the n-th request of the usual mix of classes of the other deployment. A request waits as long as
+// its class allows. All requests with a body have the given one.
+func CensusTraffic(n int, body string) Request {
+	r := Request{ID: NewID(), Sid: fmt.Sprintf("%016x", 0x7f3a9c21e0b4d655+uint64(n%600)), Method: "POST"}
+	switch censusMix[n%len(censusMix)] {
+	case 0:
+		r.Class, r.Method, r.Expires = "tally-read", "GET", 2000*time.Millisecond
+	case 1:
+		r.Class, r.Expires, r.Key = "sheet-submit", 4000*time.Millisecond, "key-"+r.ID
+	default:
+		r.Class, r.Expires = "day-close", 6000*time.Millisecond
+	}
+	if r.Method == "POST" {
+		r.Body = body
+	}
+	return r
+}
