--- a/review/standin/kit/discovery.go
+++ b/review/standin/kit/discovery.go
@@ -36,6 +36,10 @@
 	Record *Record
 	// Wait returns for how long a call to the front with the given name waits before it is answered.
 	Wait func(front string) time.Duration
+	// Told is called after a list was written to a caller, if it is set.
+	Told func(list List)
+	// WatchLength returns after which time a watch ends without a last message, if it is set.
+	WatchLength func() time.Duration
 
 	mu         sync.Mutex
 	generation int
@@ -145,15 +149,24 @@
 	if after == 0 {
 		list.Reset = true
 	}
+	var end <-chan time.Time
+	if d.WatchLength != nil {
+		end = time.After(d.WatchLength())
+	}
 	for {
 		raw, _ := json.Marshal(list)
 		fmt.Fprintf(w, "%s\n", raw)
 		flusher.Flush()
+		if d.Told != nil {
+			d.Told(list)
+		}
 		d.Record.Add("discovery %s: wrote generation %d, %d entries", f.Name, list.Generation, len(list.Instances))
 		for waiting := true; waiting; {
 			select {
 			case <-changed:
 				waiting = false
+			case <-end:
+				panic(http.ErrAbortHandler)
 			case <-time.After(2 * time.Second):
 				fmt.Fprint(w, "\n")
 				flusher.Flush()
--- a/review/standin/kit/pick.go
+++ b/review/standin/kit/pick.go
@@ -74,9 +74,37 @@
 	inFlight atomic.Int32
 	mu       sync.Mutex
 	arrivals []Arrival
+	conns    map[net.Conn]bool
 	listener net.Listener
 }
 
+// End ends the pick server as the end of its process does: new connections are refused and the open ones are reset.
+func (p *PickServer) End() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// InHand returns how many requests the pick server has now.
+func (p *PickServer) InHand() int { return int(p.inFlight.Load()) }
+
+func (p *PickServer) track(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns == nil {
+		p.conns = map[net.Conn]bool{}
+	}
+	if open {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+	}
+}
+
 // Start listens on a free loopback port and serves.
 func (p *PickServer) Start() error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -105,6 +133,8 @@
 
 // serve answers the requests on one connection.
 func (p *PickServer) serve(c net.Conn) {
+	p.track(c, true)
+	defer p.track(c, false)
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
