--- a/review/standin/cmd/smuggle/main.go
+++ b/review/standin/cmd/smuggle/main.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"strings"
 	"time"
 
 	"standin/kit"
@@ -62,7 +64,7 @@
 	foreign := 0
 	for _, p := range servers {
 		for _, a := range p.Arrivals() {
-			if !a.Known {
+			if !a.Known && !strings.HasPrefix(a.Sent.ID, "outer-") {
 				foreign++
 			}
 		}
@@ -74,6 +76,7 @@
 
 // misbehave sends ten improper requests to the health path, each on a connection of its own. It states the length of
 // its body twice, and by Content-Length the whole rest is the body. Without trouble it sends a proper health check.
+// With AHEAD=1 it shows a second gap instead, which is no part of the case: see ahead.
 func misbehave(c *kit.Case, s *kit.Sidecar) {
 	for i := range 10 {
 		time.Sleep(500 * time.Millisecond)
@@ -82,6 +85,9 @@
 		body := "0\r\n\r\n" + inner
 		message := fmt.Sprintf("GET /_health HTTP/1.1\r\nHost: app.svc\r\nTransfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n%s",
 			len(body), body)
+		if os.Getenv("AHEAD") == "1" {
+			message = ahead(i, inner)
+		}
 		if !c.Trouble {
 			message = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 		}
@@ -98,3 +104,12 @@
 		conn.Close()
 	}
 }
+
+// ahead returns a health check, and sent with it, ahead of the answer, a message of HTTP/1.0 with Transfer-Encoding and a
+// Content-Length that ends before the inner request, which stands in a chunk of its body.
+func ahead(i int, inner string) string {
+	size := fmt.Sprintf("%x\r\n", len(inner))
+	return "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n" + fmt.Sprintf("POST /confirm-pick?sid=1 HTTP/1.0\r\n"+
+		"Connection: keep-alive\r\nHost: app.svc\r\nX-Trace-Id: outer-%d\r\nX-Qos: confirm-pick\r\nX-Expires-In: 2000m\r\n"+
+		"Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n%s%s\r\n0\r\n\r\n", i, len(size), size, inner)
+}
