Check the length of every message before anything is answered

What was seen: a peer sent GET /_health with both Transfer-Encoding and Content-Length, and the text of a POST in the body.

Cause: ServeHTTP answered the health path before hasAmbiguousLength, and net/http answers "OPTIONS *" without calling ServeHTTP. net/http follows Transfer-Encoding, drops Content-Length and keeps the connection, so the rest of the body is the next request.

Evidence: TestConflictingLengthsAreRejectedOnEveryTarget failed on the code before: status 200 in place of 400 for /_health (GET, POST with a query, OPTIONS, absolute form) and "OPTIONS *", five inner requests forwarded. A path without a class was rejected already.

Change: the length is checked first, for every message, and net/http hands "OPTIONS *" to the handler (DisableGeneralOptionsHandler). That request belongs to no class, so it gets 400 in place of 200.

--- a/internal/downstream/handler.go
+++ b/internal/downstream/handler.go
@@ -23,15 +23,15 @@
 	if req.ContentLength != 0 { // also covers what net/http reads of a body after the response
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTimeout))
 	}
-	if req.URL.Path == healthPath {
-		s.serveHealth(w)
-		return
-	}
-	if hasAmbiguousLength(req) {
+	if hasAmbiguousLength(req) { // checked before anything else, because whatever follows it may not be a request
 		closeAfterResponse(w)
 		http.Error(w, "ambiguous length", http.StatusBadRequest)
 		return
 	}
+	if req.URL.Path == healthPath {
+		s.serveHealth(w)
+		return
+	}
 	parsed, err := s.parseRequest(w, req)
 	if err != nil {
 		writeRequestError(w, req, err)
--- a/internal/downstream/head_recorder_test.go
+++ b/internal/downstream/head_recorder_test.go
@@ -57,6 +57,35 @@
 	}
 }
 
+// A request with conflicting lengths is rejected whatever its target, also where the sidecar answers by itself. Guards
+// against a request inside the body of a health check, or of an OPTIONS request, that was forwarded to an endpoint.
+func TestConflictingLengthsAreRejectedOnEveryTarget(t *testing.T) {
+	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
+	h := newHarnessWithEndpoints(t, stub.Addr)
+	body := "0\r\n\r\n" + nonIdempotentRequest("inner")
+	lengths := fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n", len(body))
+	for _, requestLine := range []string{
+		"GET /_health HTTP/1.1",
+		"POST /_health?x=1 HTTP/1.1",
+		"GET http://app.svc/_health HTTP/1.1",
+		"OPTIONS * HTTP/1.1",
+		"OPTIONS /_health HTTP/1.1",
+		"GET /nowhere HTTP/1.1",
+	} {
+		c, reader := h.connect()
+		io.WriteString(c, requestLine+"\r\nHost: app.svc\r\n"+lengths+body)
+		if resp, _ := h.readResponse(reader); resp.StatusCode != 400 || !resp.Close {
+			t.Errorf("%s: status %d, close %v, want 400 and close", requestLine, resp.StatusCode, resp.Close)
+		}
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Errorf("%s: error %v after the response, want the end of the connection", requestLine, err)
+		}
+	}
+	if n := stub.Requests.Load(); n != 0 {
+		t.Errorf("%d requests were forwarded, want none", n)
+	}
+}
+
 // A chunked request without Content-Length is forwarded, both on a new connection and on a reused one.
 func TestChunkedRequest(t *testing.T) {
 	bodies := make(chan string, 2)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -74,6 +74,8 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext:       withHeadRecorder,
 		ConnState:         finishRequestWhenIdle,
+		// net/http would answer "OPTIONS *" without calling ServeHTTP, and so without the check of the length.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
