Keep a call to discovery open while discovery may only be slow

What was seen: after SIGHUP, discovery at its new address answered each call after 2.5 s.

Cause: pollSchedule.startCall gave up a call after 1.2 s and doubled this only after a failure; each new call waits anew at discovery. The schedule reserved 1 s for a response although discovery may take 3 s, and it did not know the deadline of 4 s after a new address.

Evidence: TestFleetReceivesCatalogFromSlowDiscovery (virtual time, 2 to 300 sidecars, responses after 2.9 s) failed on the code before: no sidecar of the fleets of 2, 8 and 30 had the change in time after one or two new addresses or after silent watches, 222 of 300 after two new addresses; after an outage 1 of 2, 1 of 8 and 6 of 30 were late. So the fault is not one of SIGHUP alone. TestPollsAfterSourceChangeMeetDeadline failed without the new deadline (a call 2386 ms after the change). Of the three parts, each one taken out alone makes one of these tests fail.

Change: a call without a response is reported as overdue (WatchOverdue) and stays open; the balancer calls again beside it, and the first response (WatchOpened) decides which call becomes the watch. 3 s of each deadline are reserved for the response. A new address sets a deadline of 4 s and clears earlier failures. Calls to the old address may still bring changes until the new one responds. The status line has discovery.overdue, the log says when a call is overdue.

Client.Watch takes its callbacks as WatchHandlers; the tests of the client are adapted to that, with the same checks. The generation of the list in the sidecars is checked in the new test, not only what discovery wrote.

--- a/balance/action.go
+++ b/balance/action.go
@@ -36,8 +36,10 @@
 	// returns no action of this kind.
 	Log
 	// Watch is the kind of an Action that tells the caller to open a watch of the endpoint list at discovery,
-	// in place of any earlier watch. The watch has failed if discovery's response has not begun after
-	// Action.Delay ms. The caller reports the messages and the end of the watch as EndpointUpdate events.
+	// in place of any earlier watch. The caller reports the messages and the end of the watch as
+	// EndpointUpdate events. If discovery's response has not begun after Action.Delay ms, the caller reports
+	// WatchOverdue and keeps the call open. It keeps open all calls without a response until the first
+	// response begins, which it reports as WatchOpened, and then ends the other calls.
 	Watch
 	// Fetch is the kind of an Action that tells the caller to request the whole endpoint list from discovery
 	// once. The balancer returns no action of this kind.
--- a/balance/discovery_poll.go
+++ b/balance/discovery_poll.go
@@ -8,9 +8,14 @@
 	// after this time.
 	notificationDeadline = 6000
 
-	// discoveryResponseTime is the part of notificationDeadline, in ms, that is reserved for discovery's
-	// response: the call to discovery must start at least this long before the deadline ends.
-	discoveryResponseTime = 1000
+	// sourceChangeDeadline is the time in ms within which a sidecar must know all changes of the endpoint
+	// list after the address of discovery has changed.
+	sourceChangeDeadline = 4000
+
+	// discoveryResponseTime is the part of these deadlines, in ms, that is reserved for discovery's response:
+	// the call to discovery must start at least this long before the deadline ends. Discovery responds to a
+	// call or fails it within this time.
+	discoveryResponseTime = 3000
 
 	// stallDetectionTime is the part of notificationDeadline, in ms, that passes before a sidecar notices
 	// that its watch of the endpoint list has stalled. The time left for the next call to discovery is
@@ -29,17 +34,22 @@
 	minPollBackoff = 500
 
 	// maxBackoffDoublings is the maximum number of doublings, one for each consecutive failed call to
-	// discovery, of the backoff before the next call and of the wait for the response to a call.
+	// discovery, of the backoff before the next call and of the time after which a call is overdue.
 	maxBackoffDoublings = 4
 
-	// minWatchTimeout is the shortest time in ms for which a sidecar waits for the start of discovery's
-	// response to a call. It leaves time for another call before notificationDeadline. The wait doubles
-	// with each consecutive failed call, up to maxWatchTimeout.
-	minWatchTimeout = 1200
+	// minOverdueTime is the shortest time in ms without a response after which a call to discovery is
+	// overdue. The call may have been lost, so another call is made beside it. The time doubles with each
+	// consecutive failed or overdue call, up to maxOverdueTime.
+	minOverdueTime = 1200
+
+	// maxOverdueTime is the longest time in ms without a response after which a call to discovery is overdue.
+	// If the call was lost, there is still time for another one and its response before
+	// notificationDeadline.
+	maxOverdueTime = notificationDeadline - discoveryResponseTime - minPollBackoff
 
-	// maxWatchTimeout is the longest time in ms for which a sidecar waits for the start of discovery's
-	// response to a call. Discovery itself gives up a call after 3000 ms.
-	maxWatchTimeout = 3500
+	// maxCallDuration is an upper bound, in ms, on the time for which a call brings no message before it
+	// fails.
+	maxCallDuration = 7000
 
 	// minAgentBackoff is the lower bound, in ms, on the span of the delays after a failed call to a local
 	// discovery agent. The delay before the next call is random, from 0 to the span, so it can be shorter
@@ -63,9 +73,10 @@
 	pollInterval float64 // Config.PollInterval, in ms; 0 if not given
 	seed         uint64
 
-	failures      int     // consecutive failed calls
-	watching      bool    // the last call to discovery has neither failed nor stalled
-	callStartedAt float64 // start of the pending call, in ms; +Inf after a response
+	failures       int     // consecutive failed or overdue calls
+	watching       bool    // the last call to discovery is neither failed nor overdue nor stalled
+	callStartedAt  float64 // start of the pending call, in ms; +Inf after a response
+	sourceDeadline float64 // end of sourceChangeDeadline after the last change of address; -Inf before
 }
 
 func newPollSchedule(cfg *Config) pollSchedule {
@@ -76,19 +87,30 @@
 		pollInterval:  cfg.PollInterval,
 		seed:          cfg.Seed,
 		callStartedAt: math.Inf(1),
+
+		sourceDeadline: math.Inf(-1),
 	}
 }
 
-// startCall records the start of a call and returns how long to wait for its response, in ms. The wait
-// grows after failures, because discovery may only be slow.
-func (p *pollSchedule) startCall(now float64) (timeout float64) {
+// startCall records the start of a call and returns the time without a response after which the call is
+// overdue, in ms. The time grows after failures, because discovery may only be slow.
+func (p *pollSchedule) startCall(now float64) (overdueAfter float64) {
 	p.watching = true
 	p.callStartedAt = now
-	wait := math.Max(minWatchTimeout, p.fleetCallTime()) * backoffFactor(p.failures, maxBackoffDoublings)
-	return math.Min(wait, maxWatchTimeout)
+	wait := math.Max(minOverdueTime, p.fleetCallTime()) * backoffFactor(p.failures, maxBackoffDoublings)
+	return math.Min(wait, maxOverdueTime)
+}
+
+// recordOpened records that discovery has begun a response, so that no further call is needed.
+func (p *pollSchedule) recordOpened() { p.watching = true }
+
+// changeSource records that discovery has another address. Failures at the earlier address do not count.
+func (p *pollSchedule) changeSource(now float64) {
+	p.failures = 0
+	p.sourceDeadline = now + sourceChangeDeadline
 }
 
-// recordSuccess records that discovery responded.
+// recordSuccess records that discovery sent an endpoint list or a change of it.
 func (p *pollSchedule) recordSuccess() {
 	p.failures = 0
 	p.callStartedAt = math.Inf(1)
@@ -100,8 +122,8 @@
 	return p.jitter(math.Min(p.fleetCallTime(), p.remainingTime(now, 0)))
 }
 
-// delayAfterFailure records a failed call and returns the delay of the next call, in ms. Calls of all
-// sidecars fail together, so the backoff is long enough for discovery to answer all of them.
+// delayAfterFailure records a failed or overdue call and returns the delay of the next call, in ms. Calls of
+// all sidecars fail together, so the backoff is long enough for discovery to answer all of them.
 func (p *pollSchedule) delayAfterFailure(now float64) float64 {
 	p.watching = false
 	p.failures++
@@ -121,14 +143,19 @@
 }
 
 // remainingTime returns the time in ms within which the next call must start to meet the notification
-// deadline. The given time of the deadline has elapsed already, or the duration of the failed call if the
-// call took longer: discovery may have been reachable again since the call started. A call that started more
-// than 2*maxWatchTimeout ago is ignored: no failed call takes so long, so the call must have been answered.
+// deadline, and the deadline after a change of address. The given time of the notification deadline has
+// elapsed already, or the duration of the failed call if the call took longer: discovery may have been
+// reachable again since the call started. A call that started more than maxCallDuration ago is ignored, as it
+// must have been answered.
 func (p *pollSchedule) remainingTime(now, elapsed float64) float64 {
-	if callDuration := now - p.callStartedAt; callDuration < 2*maxWatchTimeout {
+	if callDuration := now - p.callStartedAt; callDuration < maxCallDuration {
 		elapsed = math.Max(elapsed, callDuration)
 	}
-	return math.Max(minPollBackoff, notificationDeadline-discoveryResponseTime-elapsed)
+	remaining := notificationDeadline - discoveryResponseTime - elapsed
+	if now < p.sourceDeadline {
+		remaining = math.Min(remaining, p.sourceDeadline-discoveryResponseTime-now)
+	}
+	return math.Max(minPollBackoff, remaining)
 }
 
 // fleetCallTime returns the time in ms that discovery needs to answer one call of each sidecar. It is 0 for
--- a/balance/discovery_poll_test.go
+++ b/balance/discovery_poll_test.go
@@ -84,6 +84,52 @@
 	}
 }
 
+// A response that begins late, to a call that was overdue, is as good as any: discovery is not called again.
+func TestLateResponseEndsPolling(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Subscribe = true
+	h := newHarness(t, cfg, newEndpoints(3)...)
+	h.handle(Timer{Token: pollTimer})
+	if !hasAction(h.handle(EndpointUpdate{Kind: WatchOverdue}), SetTimer) {
+		t.Fatal("no further call is scheduled while a call is overdue")
+	}
+	h.handle(EndpointUpdate{Kind: WatchOpened})
+	if hasAction(h.handle(Timer{Token: pollTimer}), Watch) {
+		t.Error("discovery is called again although it has responded")
+	}
+	h.handle(EndpointUpdate{Kind: WatchFailed})
+	if !hasAction(h.handle(Timer{Token: pollTimer}), Watch) {
+		t.Error("discovery is not called again after the end of the watch")
+	}
+}
+
+// After a change of address a sidecar counts as notified of all changes within 4 s. Calls that fail are repeated so
+// soon that discovery, once it can be reached, has the time to respond, however many calls failed before.
+func TestPollsAfterSourceChangeMeetDeadline(t *testing.T) {
+	const deadline, longestBackoff = 4000, 500
+	for seed := range 40 {
+		cfg := baseConfig()
+		cfg.Subscribe = true
+		cfg.Seed = uint64(seed)
+		cfg.PeerCount = 300
+		h := newHarness(t, cfg, newEndpoints(3)...)
+		for range 9 {
+			h.handle(Timer{Token: pollTimer})
+			h.handle(EndpointUpdate{Kind: WatchFailed})
+		}
+		changedAt := h.now
+		h.handle(EndpointUpdate{Kind: SourceChanged})
+		for h.now < changedAt+deadline {
+			due := h.nextPoll(h.handle(EndpointUpdate{Kind: WatchFailed}))
+			if latest := math.Max(changedAt+deadline-discoveryResponseTime, h.now+longestBackoff); due > latest {
+				t.Fatalf("next poll %.0f ms after the change of address, want at most %.0f", due-changedAt, latest-changedAt)
+			}
+			h.now = due + 1
+			h.handle(Timer{Token: pollTimer})
+		}
+	}
+}
+
 // Guards against synchronized polls. Discovery handles calls one after another, including calls that have
 // timed out already. When 80 sidecars that were started together polled at the same time, and again at the
 // same time after each failure, very few of them got a list for ten seconds.
--- a/balance/endpoint_list.go
+++ b/balance/endpoint_list.go
@@ -15,11 +15,14 @@
 // watch has ended or discovery has a new address.
 func (b *Balancer) handleEndpointUpdate(event EndpointUpdate) {
 	switch event.Kind {
-	case WatchFailed:
+	case WatchFailed, WatchOverdue:
 		b.schedulePoll(b.pollSchedule.delayAfterFailure(b.now))
 	case WatchStalled:
 		b.schedulePoll(b.pollSchedule.delayAfterStall(b.now))
+	case WatchOpened:
+		b.pollSchedule.recordOpened()
 	case SourceChanged:
+		b.pollSchedule.changeSource(b.now)
 		b.poll()
 	case Snapshot, CachedSnapshot:
 		b.markUnlistedRemoved(event.Endpoints)
--- a/balance/event.go
+++ b/balance/event.go
@@ -69,6 +69,14 @@
 	// SourceChanged is the kind of an EndpointUpdate without entries that reports that discovery has another
 	// address. The balancer opens a watch at the new address at once.
 	SourceChanged
+	// WatchOverdue is the kind of an EndpointUpdate without entries that reports that discovery has not begun
+	// its response to a Watch action in time. The call stays open, and no failure of the call is reported
+	// afterwards. The balancer calls discovery again after a backoff.
+	WatchOverdue
+	// WatchOpened is the kind of an EndpointUpdate without entries that reports that discovery has begun its
+	// response to a Watch action, perhaps to one that was overdue. The balancer does not call discovery again
+	// until the watch ends.
+	WatchOpened
 )
 
 // EndpointUpdate reports the endpoint list, a part of the list, or a problem with the watch that provides the
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -21,9 +21,10 @@
 	// dialTimeout is the longest time that opening a connection to discovery may take.
 	dialTimeout = time.Second
 
-	// fetchTimeout is the longest time that a fetch of the endpoint list may take. Discovery itself gives up a call
-	// after 3 s, and the rest of the timeout leaves room for late responses.
-	fetchTimeout = 4 * time.Second
+	// CallTimeout is the longest time that a fetch of the endpoint list may take, and that the response to a watch may
+	// take to begin. Discovery itself gives up a call after 3 s, and the rest of the timeout leaves room for late
+	// responses.
+	CallTimeout = 4 * time.Second
 
 	// WatchStallTimeout is the time without a heartbeat or a whole message after which a watch counts as stalled.
 	// Discovery sends a heartbeat, an empty line, every 2 s. A sidecar counts as notified of a change after 6 s, even
@@ -64,7 +65,7 @@
 
 // Fetch returns the whole endpoint list. It fails after 4 s.
 func (c *Client) Fetch(ctx context.Context) (Catalog, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, fetchTimeout, ErrTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, CallTimeout, ErrTimeout)
 	defer cancel()
 	body, err := c.get(ctx, nil)
 	if err != nil {
@@ -82,10 +83,18 @@
 	return catalog, nil
 }
 
-// Watch calls handle with each message that is newer than afterGeneration. It returns when the watch ends, always with
-// an error. The response must begin within the timeout. After that, the watch fails with ErrStalled once neither a
+// WatchHandlers are the functions that Client.Watch calls while a watch is open.
+type WatchHandlers struct {
+	Opened  func()        // called once, when the response begins; may be nil
+	Catalog func(Catalog) // called with each message
+}
+
+// Watch opens a watch for messages that are newer than afterGeneration. It returns when the watch ends, always with an
+// error. The response must begin within the timeout. After that, the watch fails with ErrStalled once neither a
 // heartbeat nor a whole message has arrived for WatchStallTimeout.
-func (c *Client) Watch(ctx context.Context, afterGeneration uint64, timeout time.Duration, handle func(Catalog)) error {
+func (c *Client) Watch(
+	ctx context.Context, afterGeneration uint64, timeout time.Duration, handlers WatchHandlers,
+) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	responseTimer := time.AfterFunc(timeout, func() { cancel(ErrTimeout) })
@@ -96,10 +105,13 @@
 	}
 	defer body.Close()
 	responseTimer.Stop()
+	if handlers.Opened != nil {
+		handlers.Opened()
+	}
 	stallTimer := time.AfterFunc(c.stallTimeout, func() { cancel(ErrStalled) })
 	defer stallTimer.Stop()
 	reader := &heartbeatReader{source: body, onHeartbeat: func() { stallTimer.Reset(c.stallTimeout) }}
-	return fmt.Errorf("watch: %w", readMessages(ctx, reader, handle))
+	return fmt.Errorf("watch: %w", readMessages(ctx, reader, handlers.Catalog))
 }
 
 // readMessages calls handle with each message until the watch ends, and returns the error that ended the watch.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -50,12 +50,12 @@
 			client := NewClient(stub.Addr)
 			client.stallTimeout = 20 * time.Millisecond
 			catalogs := 0
-			err := client.Watch(context.Background(), 1, nettest.Timeout, func(got Catalog) {
+			err := client.Watch(context.Background(), 1, nettest.Timeout, WatchHandlers{Catalog: func(got Catalog) {
 				catalogs++
 				if got.Generation != 7 || !got.Reset || len(got.Instances) != 1 {
 					t.Errorf("unexpected catalog %+v", got)
 				}
-			})
+			}})
 			if err == nil || catalogs != test.catalogs {
 				t.Errorf("error %v after %d catalogs, want an error after %d", err, catalogs, test.catalogs)
 			}
@@ -125,7 +125,7 @@
 		if !wantStalled {
 			timeout = client.stallTimeout
 		}
-		err := client.Watch(context.Background(), 1, timeout, nil)
+		err := client.Watch(context.Background(), 1, timeout, WatchHandlers{})
 		if err == nil || errors.Is(err, ErrStalled) != wantStalled {
 			t.Errorf("response %q: error %v, want stalled: %v", response, err, wantStalled)
 		}
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -39,7 +39,7 @@
 	zones             []string                         // zone names, indexed by balance.Endpoint.Zone
 	machineTypes      []string                         // machine type names, indexed by balance.Endpoint.MachineType
 	generation        uint64                           // generation of the endpoint list; 0 asks for a snapshot
-	cancelWatch       context.CancelFunc               // ends the open watch; nil before the first watch
+	watchCalls        []*watchCall                     // calls for a watch that have not ended
 	postponed         []func()                         // functions to run after the actions of the current event
 	stats             Stats
 	failedSinceStatus int // failed attempts since the last status line
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	fleetSize       = 300                  // number of sidecars
+	fleetSize       = 300                  // number of sidecars in a large fleet
 	serviceTime     = 8 * time.Millisecond // how long discovery takes to serve one call
 	maxQueueingTime = 3 * time.Second      // discovery fails a call that would have to wait longer than this
 )
@@ -50,6 +50,7 @@
 	notifiedAt   map[int]time.Time // when each sidecar got the current catalog, by peer index
 	open         map[net.Conn]bool
 	stateChanged chan struct{} // closed by the next setState
+	silenced     chan struct{} // closed by the next silenceWatches
 }
 
 // setState begins or ends an outage and sets the catalog. All open connections are closed.
@@ -68,6 +69,32 @@
 		c.Close()
 	}
 	d.open = map[net.Conn]bool{}
+	d.silenced = make(chan struct{})
+}
+
+// silenceWatches makes all open connections silent, without closing them, and sets the catalog.
+func (d *fleetDiscovery) silenceWatches(catalog string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.catalog = catalog
+	d.notifiedAt = map[int]time.Time{}
+	close(d.silenced)
+	d.silenced = make(chan struct{})
+}
+
+// openConnections returns the number of open connections.
+func (d *fleetDiscovery) openConnections() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.open)
+}
+
+// close closes a connection.
+func (d *fleetDiscovery) close(c net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.Close()
+	delete(d.open, c)
 }
 
 // dial opens a connection from the sidecar with the given peer index.
@@ -79,13 +106,15 @@
 	}
 	client, server := net.Pipe()
 	d.open[server] = true
-	go d.serve(server, peerIndex, d.outage, d.stateChanged)
+	go d.serve(server, peerIndex, d.outage, d.stateChanged, d.silenced)
 	return client, nil
 }
 
 // serve serves the one call on a connection.
-func (d *fleetDiscovery) serve(c net.Conn, peerIndex int, outage outageKind, stateChanged <-chan struct{}) {
-	defer c.Close()
+func (d *fleetDiscovery) serve(
+	c net.Conn, peerIndex int, outage outageKind, stateChanged, silenced <-chan struct{},
+) {
+	defer d.close(c)
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil || outage == closesConnections {
 		return
 	}
@@ -126,7 +155,13 @@
 	}
 	d.markNotified(peerIndex, catalog)
 	for wait(2 * time.Second) {
-		io.WriteString(c, "1\r\n\n\r\n") // a heartbeat
+		select {
+		case <-silenced:
+			wait(time.Hour)
+			return
+		default:
+			io.WriteString(c, "1\r\n\n\r\n") // a heartbeat
+		}
 	}
 }
 
@@ -167,15 +202,15 @@
 	return len(d.notifiedAt), last
 }
 
-// startFleet runs the event loops of a fleet of sidecars until stop is called.
-func (d *fleetDiscovery) startFleet(t *testing.T, cachedCatalog string) (fleet []*Loop, stop func()) {
+// startFleet runs the event loops of a fleet of the given size until stop is called.
+func (d *fleetDiscovery) startFleet(t *testing.T, size int, cachedCatalog string) (fleet []*Loop, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for i := range fleetSize {
+	for i := range size {
 		settings := fmt.Sprintf(`{"classes": [{"name": "look", "effect": "read_like", "hard_limit_ms": 1000}],
 			"discovery": "subscribe", "my_number": %d, "peers_total": %d, "rules": {"ask_within_ms": 20000}}`,
-			i, fleetSize)
+			i, size)
 		raw := fmt.Sprintf(
 			`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"%x","known":%s,"settings":%s}`,
 			i+1, cachedCatalog, settings)
@@ -184,8 +219,7 @@
 			t.Fatal(err)
 		}
 		l := NewLoop(clock.New(), &cfg, slog.New(slog.DiscardHandler))
-		dial := func(context.Context, string, string) (net.Conn, error) { return d.dial(i) }
-		l.dispatcher.discovery = discovery.NewClientWithDialer(cfg.Discovery, dial)
+		l.dispatcher.discovery = d.newClient(i)
 		fleet = append(fleet, l)
 		running.Go(func() { l.Run(ctx) })
 	}
@@ -196,6 +230,12 @@
 	}
 }
 
+// newClient returns a client of the discovery service for the sidecar with the given peer index.
+func (d *fleetDiscovery) newClient(peerIndex int) *discovery.Client {
+	dial := func(context.Context, string, string) (net.Conn, error) { return d.dial(peerIndex) }
+	return discovery.NewClientWithDialer("127.0.0.1:1", dial)
+}
+
 // runInBubble runs a test in virtual time (in a bubble of package synctest), on one processor. With more than one
 // processor the race detector of Go 1.26 crashes: the timers of a bubble share one race context, and a select on a
 // timer's channel may run such a timer (runtime.maybeRunChan) while the bubble's root goroutine runs others.
@@ -227,7 +267,7 @@
 	drainingCatalog := nettest.CatalogJSON(2, true, nettest.InstanceJSON("s-0", "127.0.0.1:1", "draining"))
 	d := &fleetDiscovery{responseDelay: 100 * time.Millisecond}
 	d.setState(noOutage, upCatalog)
-	_, stop := d.startFleet(t, nettest.CachedCatalogJSON("127.0.0.1:1"))
+	_, stop := d.startFleet(t, fleetSize, nettest.CachedCatalogJSON("127.0.0.1:1"))
 	defer stop()
 	time.Sleep(20 * time.Second)
 	if n, _ := d.notified(); n < fleetSize {
@@ -276,7 +316,7 @@
 	if outage == noOutage {
 		d.responseDelay = 20 * time.Second // discovery is overloaded, and no call gets a response in time
 	}
-	fleet, stop := d.startFleet(t, cachedCatalog)
+	fleet, stop := d.startFleet(t, fleetSize, cachedCatalog)
 	defer stop()
 	time.Sleep(10 * time.Second)
 	ready := 0
@@ -289,3 +329,99 @@
 		t.Errorf("%d of %d sidecars are ready after 10 s, want at least 9 in 10", ready, fleetSize)
 	}
 }
+
+// A discovery service that responds slowly, but within the 3 s after which it gives up a call, is not called in vain:
+// all sidecars know a change within 4 s of a new address of discovery, and within 6 s of its recovery or of the moment
+// at which the watches fell silent. Guards against calls that were given up after 1.2 s and made anew, again and again.
+func TestFleetReceivesCatalogFromSlowDiscovery(t *testing.T) {
+	for _, disruption := range []struct {
+		name   string
+		within time.Duration
+		// disrupt changes the catalog and disturbs the watches. It returns the instant from which the time counts.
+		disrupt func(d *fleetDiscovery, fleet []*Loop, catalog string) time.Time
+	}{
+		{"new address", 4 * time.Second, func(d *fleetDiscovery, fleet []*Loop, catalog string) time.Time {
+			d.setState(noOutage, catalog)
+			d.moveFleet(fleet)
+			return time.Now()
+		}},
+		{"two new addresses", 4 * time.Second, func(d *fleetDiscovery, fleet []*Loop, catalog string) time.Time {
+			d.setState(noOutage, catalog)
+			d.moveFleet(fleet)
+			firstAt := time.Now()
+			time.Sleep(2 * time.Second)
+			d.moveFleet(fleet)
+			return firstAt
+		}},
+		{"new address after failures", 4 * time.Second, func(d *fleetDiscovery, fleet []*Loop, catalog string) time.Time {
+			d.setState(refusesConnections, "")
+			time.Sleep(20 * time.Second)
+			d.setState(noOutage, catalog)
+			d.moveFleet(fleet)
+			return time.Now()
+		}},
+		{"silent watches", 6 * time.Second, func(d *fleetDiscovery, _ []*Loop, catalog string) time.Time {
+			d.silenceWatches(catalog)
+			return time.Now()
+		}},
+		{"recovery", 6 * time.Second, func(d *fleetDiscovery, _ []*Loop, catalog string) time.Time {
+			d.setState(refusesConnections, "")
+			time.Sleep(20 * time.Second)
+			d.setState(noOutage, catalog)
+			return time.Now()
+		}},
+	} {
+		for _, size := range []int{2, 8, 30, fleetSize} {
+			t.Run(fmt.Sprintf("%s, %d sidecars", disruption.name, size), func(t *testing.T) {
+				runInBubble(t, func(t *testing.T) {
+					testFleetWithSlowDiscovery(t, size, disruption.within, disruption.disrupt)
+				})
+			})
+		}
+	}
+}
+
+func testFleetWithSlowDiscovery(
+	t *testing.T, size int, within time.Duration, disrupt func(*fleetDiscovery, []*Loop, string) time.Time,
+) {
+	t.Helper()
+	const slowestCall = 2900 * time.Millisecond
+	const generation = 2 // of the changed catalog
+	d := &fleetDiscovery{responseDelay: slowestCall - time.Duration(size)*serviceTime}
+	d.setState(noOutage, nettest.CatalogJSON(1, true, nettest.InstanceJSON("s-0", "127.0.0.1:1", "up")))
+	fleet, stop := d.startFleet(t, size, nettest.CachedCatalogJSON("127.0.0.1:1"))
+	defer stop()
+	time.Sleep(30 * time.Second)
+	if n := countWithGeneration(fleet, 1); n != size {
+		t.Errorf("before the disruption %d of %d sidecars have the catalog", n, size)
+	}
+	catalog := nettest.CatalogJSON(generation, true, nettest.InstanceJSON("s-0", "127.0.0.1:1", "draining"))
+	countsFrom := disrupt(d, fleet, catalog)
+	time.Sleep(time.Until(countsFrom.Add(within)))
+	if n := countWithGeneration(fleet, generation); n != size {
+		t.Errorf("%d of %d sidecars have the catalog after %v, want all", n, size, within)
+	}
+	time.Sleep(30 * time.Second)
+	if n := d.openConnections(); n != size {
+		t.Errorf("%d connections to discovery are open, want one for each of the %d sidecars", n, size)
+	}
+}
+
+// moveFleet tells all sidecars that discovery has another address.
+func (d *fleetDiscovery) moveFleet(fleet []*Loop) {
+	for i, l := range fleet {
+		l.enqueue(func(dispatcher *dispatcher) { dispatcher.changeDiscovery(d.newClient(i)) })
+	}
+}
+
+// countWithGeneration returns how many sidecars have the endpoint list of a generation.
+func countWithGeneration(fleet []*Loop, generation uint64) (n int) {
+	for _, l := range fleet {
+		known := make(chan uint64)
+		l.enqueue(func(d *dispatcher) { known <- d.generation })
+		if <-known == generation {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -28,6 +28,7 @@
 	Attempts          [balance.ResultCount]int // ended attempts, by result
 	DiscoveryCalls    int                      // watches opened
 	DiscoveryFailures int                      // calls to discovery that failed, and watches that ended
+	DiscoveryOverdue  int                      // calls to discovery whose response did not begin in time
 	DiscoveryLatency  float64                  // ms from the start of the latest watch to its first message
 }
 
@@ -92,6 +93,7 @@
 		slog.Group("discovery",
 			"calls", stats.DiscoveryCalls,
 			"failed", stats.DiscoveryFailures,
+			"overdue", stats.DiscoveryOverdue,
 			"latency_ms", stats.DiscoveryLatency,
 			"generation", d.generation),
 		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses),
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -4,46 +4,118 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"pebblelift/balance"
 	"pebblelift/internal/discovery"
 )
 
-// watch opens a watch of the endpoint list from the current generation on, and closes the previous watch, whose
-// remaining messages are dropped. The response must begin within the timeout.
-func (d *dispatcher) watch(timeout time.Duration) {
-	if d.cancelWatch != nil {
-		d.cancelWatch()
-	}
+// watchCall is a call to discovery for a watch, from its start to its end. Only the loop's goroutine uses it.
+type watchCall struct {
+	cancel       context.CancelFunc
+	startedAt    float64 // ms
+	overdueTimer *time.Timer
+	overdue      bool // the balancer knows that the call is overdue
+	superseded   bool // discovery has another address by now
+	opened       bool // the response has begun
+	hasMessage   bool // the first message was handled
+}
+
+// watch opens a watch of the endpoint list from the current generation on. The call is reported as overdue if its
+// response has not begun after the given time. Earlier calls without a response stay open beside it, because discovery
+// may only be slow; the first response decides which call becomes the watch.
+func (d *dispatcher) watch(overdueAfter time.Duration) {
+	d.endWatchCalls(func(call *watchCall) bool { return call.opened && !call.superseded })
 	ctx, cancel := context.WithCancel(d.ctx)
-	d.cancelWatch = cancel
-	generation, client, startedAt := d.generation, d.discovery, d.clock.Now()
+	call := &watchCall{cancel: cancel, startedAt: d.clock.Now()}
+	d.watchCalls = append(d.watchCalls, call)
 	d.stats.DiscoveryCalls++
-	d.loop.workers.Go(func() {
-		first := true
-		err := client.Watch(ctx, generation, timeout, func(catalog discovery.Catalog) {
-			latency, isFirst := d.clock.Now()-startedAt, first
-			first = false
-			d.loop.enqueue(func(d *dispatcher) {
-				if ctx.Err() != nil {
-					return
-				}
-				if isFirst {
-					d.stats.DiscoveryLatency = latency
-				}
-				d.handleCatalog(catalog)
-			})
-		})
+	// whileOpen queues f unless the call has been ended by then.
+	whileOpen := func(f func(d *dispatcher)) {
 		d.loop.enqueue(func(d *dispatcher) {
 			if ctx.Err() == nil {
-				cancel()
-				d.handleDiscoveryError(err)
+				f(d)
 			}
 		})
+	}
+	call.overdueTimer = time.AfterFunc(overdueAfter, func() {
+		whileOpen(func(d *dispatcher) { d.handleWatchOverdue(call) })
+	})
+	handlers := discovery.WatchHandlers{
+		Opened: func() { whileOpen(func(d *dispatcher) { d.handleWatchOpened(call) }) },
+		Catalog: func(catalog discovery.Catalog) {
+			whileOpen(func(d *dispatcher) { d.handleWatchMessage(call, catalog) })
+		},
+	}
+	generation, client := d.generation, d.discovery
+	d.loop.workers.Go(func() {
+		err := client.Watch(ctx, generation, discovery.CallTimeout, handlers)
+		whileOpen(func(d *dispatcher) { d.handleWatchEnd(call, err) })
+	})
+}
+
+// handleWatchOverdue tells the balancer that a call has no response yet.
+func (d *dispatcher) handleWatchOverdue(call *watchCall) {
+	if call.opened || call.superseded {
+		return
+	}
+	call.overdue = true
+	d.stats.DiscoveryOverdue++
+	d.log.Info("discovery", "overdue_ms", d.clock.Now()-call.startedAt)
+	d.handle(balance.EndpointUpdate{Kind: balance.WatchOverdue})
+}
+
+// handleWatchOpened makes a call whose response has begun the only one, and tells the balancer. A call to an earlier
+// address cannot take this place, because it will end soon.
+func (d *dispatcher) handleWatchOpened(call *watchCall) {
+	call.opened = true
+	call.overdueTimer.Stop()
+	if call.superseded {
+		return
+	}
+	d.endWatchCalls(func(other *watchCall) bool { return other != call })
+	d.handle(balance.EndpointUpdate{Kind: balance.WatchOpened})
+}
+
+// handleWatchMessage applies a message of a watch.
+func (d *dispatcher) handleWatchMessage(call *watchCall, catalog discovery.Catalog) {
+	if !call.hasMessage {
+		call.hasMessage = true
+		d.stats.DiscoveryLatency = d.clock.Now() - call.startedAt
+	}
+	if call.superseded && catalog.Generation < d.generation {
+		return // the call to the present address brings what is newer
+	}
+	d.handleCatalog(catalog)
+}
+
+// handleWatchEnd handles the end of a call. The balancer is not told if it expects nothing more of the call: it has
+// arranged for another one when the call was overdue or the address of discovery changed.
+func (d *dispatcher) handleWatchEnd(call *watchCall, err error) {
+	d.endWatchCalls(func(other *watchCall) bool { return other == call })
+	if call.superseded || call.overdue && !call.opened {
+		d.logDiscoveryError(err)
+		return
+	}
+	d.handleDiscoveryError(err)
+}
+
+// endWatchCalls ends the calls for which the condition holds. Nothing more of these calls is handled.
+func (d *dispatcher) endWatchCalls(condition func(*watchCall) bool) {
+	d.watchCalls = slices.DeleteFunc(d.watchCalls, func(call *watchCall) bool {
+		ends := condition(call)
+		if ends {
+			call.overdueTimer.Stop()
+			call.cancel()
+		}
+		return ends
 	})
 }
 
+// endAllWatchCalls ends all calls for a watch.
+func (d *dispatcher) endAllWatchCalls() { d.endWatchCalls(func(*watchCall) bool { return true }) }
+
 // fetch gets a snapshot of the endpoint list from discovery.
 func (d *dispatcher) fetch() {
 	client := d.discovery
@@ -69,17 +141,22 @@
 	case catalog.Generation < d.generation:
 		err := fmt.Errorf("%w: %d after %d", discovery.ErrOutOfOrder, catalog.Generation, d.generation)
 		d.generation = 0
-		d.cancelWatch()
+		d.endAllWatchCalls()
 		d.handleDiscoveryError(err)
 	default:
 		d.applyCatalog(catalog, balance.Delta)
 	}
 }
 
-// handleDiscoveryError logs that a call to discovery failed or that a watch ended, and tells the balancer.
-func (d *dispatcher) handleDiscoveryError(err error) {
+// logDiscoveryError logs that a call to discovery failed or that a watch ended.
+func (d *dispatcher) logDiscoveryError(err error) {
 	d.stats.DiscoveryFailures++
 	d.log.Info("discovery", "err", err)
+}
+
+// handleDiscoveryError logs that a call to discovery failed or that a watch ended, and tells the balancer.
+func (d *dispatcher) handleDiscoveryError(err error) {
+	d.logDiscoveryError(err)
 	kind := balance.WatchFailed
 	if errors.Is(err, discovery.ErrStalled) {
 		kind = balance.WatchStalled
@@ -87,12 +164,20 @@
 	d.handle(balance.EndpointUpdate{Kind: kind})
 }
 
-// SetDiscovery changes the address of discovery while the loop runs. An open watch, or one that is about to be opened,
-// is replaced at once by a watch at the new address, since discovery soon stops responding at the old address.
+// SetDiscovery changes the address of discovery while the loop runs. A watch is opened at the new address at once. Until
+// its response begins, calls to the old address, which discovery closes soon, may still bring changes.
 func (l *Loop) SetDiscovery(addr string) {
 	l.enqueue(func(d *dispatcher) {
-		d.discovery = discovery.NewClient(addr)
-		d.handle(balance.EndpointUpdate{Kind: balance.SourceChanged})
+		d.changeDiscovery(discovery.NewClient(addr))
 		d.log.Info("reloaded", "discovery", addr)
 	})
 }
+
+// changeDiscovery replaces the client of discovery and opens a watch with it.
+func (d *dispatcher) changeDiscovery(client *discovery.Client) {
+	for _, call := range d.watchCalls {
+		call.superseded = true
+	}
+	d.discovery = client
+	d.handle(balance.EndpointUpdate{Kind: balance.SourceChanged})
+}
