Follow the messages of a connection, so that each head is checked whole

Cause: the check read a record of the present head that began anew with each response. What net/http had read of the next message by then was missing. hasAmbiguousLength held a missing record to be harmless in HTTP/1.0, and took the end of a head for the whole one if its first line was the request line.

Evidence: TestRequestInsideBodyIsNotForwarded failed for both forms on the code before, in all positions but the first on the connection (status 200 in place of 400). TestProperMessagesSentAheadAreServed failed too: a chunked request that is sent ahead was rejected.

Change: messageFramer sees all bytes before net/http does and follows where each message ends; parseHead is the one place that decides whether a length is ambiguous. Where the framing is lost, nothing that follows counts as a request. headRecorder, which records no head now, is clientConn; a connection with a part of a further request no longer counts as idle, which a restored deadline had to make good before.

The heads that TestShutdownWithPartialRequests waits for are those in the framer; its checks are the same.

--- a/internal/downstream/handler.go
+++ b/internal/downstream/handler.go
@@ -17,13 +17,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrivedAt := s.loop.Clock().Now()
 	s.closeIfDraining(w)
-	if recorder := headRecorderOf(req); recorder != nil {
-		recorder.beginHandling()
-	}
+	lengthAccepted := beginRequest(req)
 	if req.ContentLength != 0 { // also covers what net/http reads of a body after the response
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTimeout))
 	}
-	if hasAmbiguousLength(req) { // checked before anything else, because whatever follows it may not be a request
+	if !lengthAccepted { // checked before anything else, because whatever follows it may not be a request
 		closeAfterResponse(w)
 		http.Error(w, "ambiguous length", http.StatusBadRequest)
 		return
--- a/internal/downstream/harness_test.go
+++ b/internal/downstream/harness_test.go
@@ -151,13 +151,13 @@
 		"\r\nX-Qos: once\r\nX-Expires-In: 9000m\r\nContent-Length: 0\r\n\r\n"
 }
 
-// recordedHeads returns what was read of the head of the current request on each open connection.
+// recordedHeads returns what was read of a head that is not complete yet on each open connection.
 func recordedHeads(l *limitedListener) (heads []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
 		c.mu.Lock()
-		heads = append(heads, string(c.head))
+		heads = append(heads, string(c.framer.partial))
 		c.mu.Unlock()
 	}
 	return heads
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -85,7 +85,7 @@
 // track adds a connection to the open connections.
 func (l *limitedListener) track(c net.Conn) *trackedConn {
 	t := &trackedConn{listener: l}
-	t.headRecorder = headRecorder{
+	t.clientConn = clientConn{
 		Conn: c, idle: true, drainMode: &l.drainMode, readAheadBudget: &l.readAheadBudget,
 	}
 	l.mu.Lock()
@@ -155,7 +155,7 @@
 
 // trackedConn is a connection that holds a slot of its listener.
 type trackedConn struct {
-	headRecorder
+	clientConn
 	listener *limitedListener
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -72,7 +72,7 @@
 		WriteTimeout:      writeTimeout + s.longestDeadline,
 		MaxHeaderBytes:    maxHeadSize,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnContext:       withHeadRecorder,
+		ConnContext:       withClientConn,
 		ConnState:         finishRequestWhenIdle,
 		// net/http would answer "OPTIONS *" without calling ServeHTTP, and so without the check of the length.
 		DisableGeneralOptionsHandler: true,
