Close the channel of a drained listener once

Cause: closeIfDrained closed the channel each time that the last connection ended. A connection that was accepted just before the listener closed could be tracked after all others had ended, if the drain timeout was over by then.

Evidence: TestConnectionAfterDrain panics on the code before ("close of closed channel").

Change: sync.OnceFunc.

--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -39,7 +39,8 @@
 	rejected        atomic.Int64  // connections rejected since the start
 	drainMode       atomic.Int32  // the current drainMode
 	readAheadBudget atomic.Int64  // bytes that may still be read ahead on all connections together
-	drained         chan struct{} // closed when drainMode is drainAll and all connections are closed
+	drained         chan struct{} // closed once drainMode is drainAll and all connections are closed
+	closeDrained    func()        // closes drained, at the first call only
 
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
@@ -55,6 +56,7 @@
 		drained:        make(chan struct{}),
 		open:           map[*trackedConn]struct{}{},
 	}
+	l.closeDrained = sync.OnceFunc(func() { close(l.drained) })
 	l.readAheadBudget.Store(readAheadBytes)
 	return l
 }
@@ -145,11 +147,11 @@
 	l.closeIfDrained()
 }
 
-// closeIfDrained closes l.drained if the drain mode is drainAll and no connection is open. This happens only once, as
-// the listener is closed by then. The caller holds mu.
+// closeIfDrained closes l.drained if the drain mode is drainAll and no connection is open. A connection that is accepted
+// just before the listener closes may be tracked and released after that. The caller holds mu.
 func (l *limitedListener) closeIfDrained() {
 	if drainMode(l.drainMode.Load()) == drainAll && len(l.open) == 0 {
-		close(l.drained)
+		l.closeDrained()
 	}
 }
 
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"pebblelift/internal/config"
 	"pebblelift/internal/nettest"
@@ -57,3 +58,24 @@
 		}
 	}
 }
+
+// A connection that is accepted just before the listener closes may come after all others are drained. Guards against a
+// panic at the end of such a connection.
+func TestConnectionAfterDrain(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := newLimitedListener(inner, 1, config.DefaultReadAheadBytes)
+	h := &harness{t: t, addr: inner.Addr().String()}
+	h.connect()
+	inner.(*net.TCPListener).SetDeadline(time.Now().Add(nettest.Timeout))
+	ln.drain(drainAll)
+	nettest.Receive(t, ln.drained)
+	late, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.Close()
+	inner.Close()
+}
