--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -136,12 +136,8 @@
 // The tokens of timers that belong to no request. They differ from the tokens of the requests' timers, which
 // are the IDs of the requests and below 2^52.
 const (
-	// pollTimer is the token, in SetTimer actions and Timer events, of the timer for the next call to
-	// discovery. Request IDs, which are the tokens of the timers of requests, are below 2^52.
-	pollTimer = 1 << 60
-	// gossipTimer is the token, in SetTimer actions and Timer events, of the timer for this sidecar's next
-	// gossip message. Request IDs, which are the tokens of the timers of requests, are below 2^52.
-	gossipTimer = pollTimer + 1
+	pollTimer   = 1 << 60       // for the next call to discovery
+	gossipTimer = pollTimer + 1 // for this sidecar's next gossip message
 )
 
 // handleTimer calls the handler for the timer that is due. A token other than pollTimer and gossipTimer is
