--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -147,8 +147,8 @@
 	l.closeIfDrained()
 }
 
-// closeIfDrained closes l.drained if the drain mode is drainAll and no connection is open. A connection that is accepted
-// just before the listener closes may be tracked and released after that. The caller holds mu.
+// closeIfDrained closes l.drained if the drain mode is drainAll and no connection is open. A connection that is
+// accepted just before the listener closes may be tracked and released after that. The caller holds mu.
 func (l *limitedListener) closeIfDrained() {
 	if drainMode(l.drainMode.Load()) == drainAll && len(l.open) == 0 {
 		l.closeDrained()
--- a/internal/downstream/message_framer_test.go
+++ b/internal/downstream/message_framer_test.go
@@ -74,7 +74,8 @@
 	h := newHarnessWithEndpoints(t, stub.Addr)
 	chunked := strings.Replace(nonIdempotentRequest("chunked"), "Content-Length: 0\r\n\r\n",
 		"transfer-encoding: Chunked\r\n\r\n2;name=value\r\nhi\r\n0\r\nX-Trailer: x\r\n\r\n", 1)
-	withBody := strings.Replace(nonIdempotentRequest("body"), "Content-Length: 0\r\n\r\n", "Content-Length: 5\r\n\r\nhello", 1)
+	withBody := strings.Replace(nonIdempotentRequest("body"), "Content-Length: 0\r\n\r\n",
+		"Content-Length: 5\r\n\r\nhello", 1)
 	stream := idempotentRequest("a") + chunked + withBody + "\r\n" + strings.Replace(chunked, "chunked", "again", 1) +
 		idempotentRequest("b")
 	for _, partSize := range []int{1, 7, len(stream)} {
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -164,8 +164,8 @@
 	d.handle(balance.EndpointUpdate{Kind: kind})
 }
 
-// SetDiscovery changes the address of discovery while the loop runs. A watch is opened at the new address at once. Until
-// its response begins, calls to the old address, which discovery closes soon, may still bring changes.
+// SetDiscovery changes the address of discovery while the loop runs. A watch is opened at the new address at once.
+// Until its response begins, calls to the old address, which discovery closes soon, may still bring changes.
 func (l *Loop) SetDiscovery(addr string) {
 	l.enqueue(func(d *dispatcher) {
 		d.changeDiscovery(discovery.NewClient(addr))
