Reproduce the incident on real processes: memory, floods, repeated ids

Callers saw nodes killed over their memory limit and late or lost answers.

internal/faulttest runs real sidecar processes between stand-ins on loopback: hostile peers in a process of their own, an application that sends one request at a time, memory read as VmHWM, the process throttled for a part of a core.

--- /dev/null
+++ b/internal/faulttest/peers_test.go
@@ -0,0 +1,154 @@
+package faulttest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// peersVariable names the environment variable that holds the hostilePeers of a process, as JSON.
+const peersVariable = "FAULTTEST_PEERS"
+
+// The kinds of hostile peers.
+const (
+	unfinishedHeads  = "unfinished heads of many fields"
+	unfinishedBodies = "unfinished bodies"
+	slowBodies       = "slow bodies"
+	floodManyFields  = "flood of heads of many fields"
+	floodUnsound     = "flood of unsound requests"
+	floodHealth      = "flood of health checks"
+	floodNewNames    = "flood of new names"
+	floodConnects    = "flood of connections"
+)
+
+var crowdKinds = []string{unfinishedHeads, unfinishedBodies, slowBodies}
+
+var floodKinds = []string{floodManyFields, floodUnsound, floodHealth, floodNewNames, floodConnects}
+
+// hostilePeers is a number of connections that all misbehave in the same way until their process ends.
+type hostilePeers struct {
+	Kind        string
+	Addr        string
+	Connections int
+	Fields      int // header fields in a head of many fields
+	Seed        uint64
+}
+
+// startPeers starts a process that sends the traffic of hostile peers. It runs until the returned function is called.
+func startPeers(t *testing.T, p hostilePeers) (stop func()) {
+	t.Helper()
+	spec, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), peersVariable+"="+string(spec), "GOMAXPROCS=2")
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop = sync.OnceFunc(func() {
+		input.Close()
+		cmd.Wait()
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
+// runPeers sends the traffic of the given peers until standard input ends.
+func runPeers(spec string) {
+	var p hostilePeers
+	if err := json.Unmarshal([]byte(spec), &p); err != nil {
+		panic(err)
+	}
+	for i := range p.Connections {
+		random := rand.New(rand.NewPCG(p.Seed, uint64(i)))
+		go func() {
+			for {
+				p.connect(random)
+			}
+		}()
+	}
+	io.Copy(io.Discard, os.Stdin)
+}
+
+// connect opens one connection, misbehaves on it and returns when the sidecar has closed it.
+func (p *hostilePeers) connect(random *rand.Rand) {
+	c, err := net.Dial("tcp", p.Addr)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	defer c.Close()
+	if p.Kind == floodConnects {
+		c.Close()
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		io.Copy(io.Discard, c)
+		c.Close()
+		close(closed)
+	}()
+	p.write(c, random)
+	<-closed
+}
+
+// write sends what the kind of peer sends.
+func (p *hostilePeers) write(c net.Conn, random *rand.Rand) {
+	out := bufio.NewWriter(c)
+	switch p.Kind {
+	case unfinishedHeads:
+		out.WriteString("GET /look HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 7900))
+	case unfinishedBodies:
+		out.WriteString(postHead(random) + strings.Repeat("x", 64<<10-1))
+	case slowBodies:
+		out.WriteString(postHead(random))
+		for range 63 {
+			out.WriteString(strings.Repeat("x", 1<<10))
+			out.Flush()
+			time.Sleep(30 * time.Millisecond)
+		}
+	default:
+		for {
+			if _, err := out.WriteString(p.floodMessage(random)); err != nil {
+				return
+			}
+		}
+	}
+	out.Flush()
+}
+
+// floodMessage returns one message of a flood.
+func (p *hostilePeers) floodMessage(random *rand.Rand) string {
+	name := fmt.Sprintf("%016x", random.Uint64())
+	switch p.Kind {
+	case floodManyFields:
+		return "GET /look HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", p.Fields) + "\r\n"
+	case floodUnsound:
+		return "GET /look HTTP/1.1\r\nHost: x\r\n\r\n"
+	case floodHealth:
+		return "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+	default:
+		return fmt.Sprintf("GET /%s?sid=%s HTTP/1.1\r\nHost: x\r\nX-Qos: %s\r\nX-Customer: %s\r\nX-%s: 1\r\nX-Trace-Id: %s\r\n\r\n",
+			name, name, name, name, name, name)
+	}
+}
+
+// postHead returns the head of a proper request with a body of 64 KiB.
+func postHead(random *rand.Rand) string {
+	return fmt.Sprintf("POST /once HTTP/1.1\r\nHost: x\r\nX-Trace-Id: p%016x\r\nX-Qos: once\r\nX-Expires-In: 2000m\r\n"+
+		"Content-Length: %d\r\n\r\n", random.Uint64(), 64<<10)
+}
--- /dev/null
+++ b/internal/faulttest/sidecar_test.go
@@ -0,0 +1,198 @@
+package faulttest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pebblelift/internal/nettest"
+)
+
+// answerSlack is how long after its deadline a client still takes an answer, as the settings below say.
+const answerSlack = 20 * time.Millisecond
+
+// sidecarSettings is a settings object with one class for each kind of idempotency.
+const sidecarSettings = `{"classes": [
+	{"name": "look", "effect": "read_like", "group": "all", "on_time_ms": 400, "hard_limit_ms": 2000},
+	{"name": "book", "effect": "idempotency_key", "group": "zone", "window_ms": 1200,
+		"on_time_ms": 750, "hard_limit_ms": 2000},
+	{"name": "once", "effect": "non_idempotent", "group": "all", "on_time_ms": 750, "hard_limit_ms": 2500}],
+	"tenants": [{"name": "acme", "share": 1}], "zones": ["a", "b", "c"], "kinds": ["m1", "m2"],
+	"discovery": "subscribe", "weights": "nominal", "clients": {"marks_retry": true},
+	"limits": {"cancel": true, "conn_idle_ms": 30000, "connect_timeout_ms": 100, "max_attempts": 6, "probes": true,
+		"retry_after": true, "max_retry_after_ms": 1200},
+	"rules": {"answer_slack_ms": 20, "ask_within_ms": 10000, "drain_grace_ms": 1500,
+		"cold_from": 0.12, "cold_ms": 23000, "fall_ms": 2000, "fall_multiple": 2.5}}`
+
+// limits are the resource limits of a sidecar process.
+type limits struct {
+	cores    float64
+	memoryMB int
+	sockets  int
+}
+
+// leastLimits are the smallest memory and the most descriptors that the platform gives a sidecar.
+var leastLimits = limits{cores: 1, memoryMB: 32, sockets: 1024}
+
+// sidecar is a real sidecar process between stand-ins.
+type sidecar struct {
+	t      *testing.T
+	addr   string
+	limits limits
+	cmd    *exec.Cmd
+	log    bytes.Buffer
+	ended  chan struct{} // closed when the process has ended
+
+	mu     sync.Mutex
+	peakKB int // the largest resident memory seen
+}
+
+// startSidecar starts a sidecar with the given pick servers and limits and waits until it is ready.
+func startSidecar(t *testing.T, servers []*pickServer, l limits) *sidecar {
+	t.Helper()
+	var instances []string
+	for i, s := range servers {
+		instances = append(instances, nettest.InstanceJSON(fmt.Sprintf("s-%d", i), s.addr, "up"))
+	}
+	catalog := nettest.CatalogJSON(40, true, instances...)
+	discovery := startDiscovery(t, catalog)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sidecar{t: t, addr: listener.Addr().String(), limits: l, ended: make(chan struct{})}
+	listener.Close()
+	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
+		"limits": {"cores": %g, "memory_mb": %d, "sockets": %d}, "known": %s, "settings": %s}`,
+		s.addr, discovery, l.cores, l.memoryMB, l.sockets, catalog, sidecarSettings)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, l.sockets), sidecarBinary)
+	s.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	s.cmd.Stderr = &s.log
+	if err := s.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		s.cmd.Wait()
+		close(s.ended)
+	}()
+	go s.watchMemory()
+	if l.cores < 1 {
+		go s.throttle(l.cores)
+	}
+	t.Cleanup(func() {
+		s.cmd.Process.Kill()
+		<-s.ended
+		if t.Failed() {
+			t.Logf("log of the sidecar, its end:\n%s", tail(s.log.String(), 4000))
+		}
+	})
+	nettest.Eventually(t, "the sidecar is ready", s.healthy)
+	return s
+}
+
+// healthy reports whether the sidecar's health endpoint answers 200.
+func (s *sidecar) healthy() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + s.addr + "/_health")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// alive reports whether the process runs.
+func (s *sidecar) alive() bool {
+	select {
+	case <-s.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+var residentPeak = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// watchMemory follows the largest resident memory of the process and kills the process above its limit, as the platform
+// does.
+func (s *sidecar) watchMemory() {
+	for ticker := time.NewTicker(10 * time.Millisecond); s.alive(); <-ticker.C {
+		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+		match := residentPeak.FindSubmatch(raw)
+		if match == nil {
+			continue
+		}
+		kB, _ := strconv.Atoi(string(match[1]))
+		s.mu.Lock()
+		s.peakKB = max(s.peakKB, kB)
+		s.mu.Unlock()
+		if kB > s.limits.memoryMB<<10 {
+			s.cmd.Process.Kill()
+		}
+	}
+}
+
+// peakMemory returns the largest resident memory seen, in kB.
+func (s *sidecar) peakMemory() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peakKB
+}
+
+// throttle lets the process run only for a fraction of the time, as on a shared core.
+func (s *sidecar) throttle(fraction float64) {
+	const period = 10 * time.Millisecond
+	run := time.Duration(fraction * float64(period))
+	for s.alive() {
+		time.Sleep(run)
+		s.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(period - run)
+		s.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+// checkHealthyProcess checks that the process runs and has stayed within its memory.
+func (s *sidecar) checkHealthyProcess() {
+	s.t.Helper()
+	peak, limit := s.peakMemory(), s.limits.memoryMB<<10
+	s.t.Logf("peak memory: %d of %d kB", peak, limit)
+	if !s.alive() || peak > limit {
+		s.t.Errorf("process alive: %v, peak memory %d kB of %d kB", s.alive(), peak, limit)
+	}
+}
+
+// tail returns the last n bytes of a text.
+func tail(text string, n int) string { return text[max(0, len(text)-n):] }
+
+// startDiscovery starts a stand-in for discovery that answers each watch with the catalog and then sends heartbeats.
+func startDiscovery(t *testing.T, catalog string) (addr string) {
+	t.Helper()
+	if !json.Valid([]byte(catalog)) {
+		t.Fatalf("catalog %q", catalog)
+	}
+	stub := nettest.NewStubServer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s\n", catalog)
+		for {
+			time.Sleep(2 * time.Second)
+			if _, err := c.Write([]byte("\n")); err != nil {
+				return false
+			}
+		}
+	})
+	return stub.Addr
+}
