Remove the deadline timer of an attempt when the attempt ends

Callers saw a sidecar killed over its memory limit during a burst of requests with large bodies. Cause: the timer heap kept a pointer to each attempt, and so to its request and body, until the client's deadline, also when the request was answered long before.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -23,6 +23,7 @@
 	endpoint        *endpoint // nil if the endpoint was not listed when the attempt began
 	upstreamAttempt *upstream.Attempt
 	startedAt       float64 // clock time in ms
+	deadlineTimer   *timer  // ends the attempt at its deadline; nil if the attempt could not start
 	ended           bool    // the attempt has its final result
 	notExecuted     bool    // the result proves that the endpoint did not execute the request
 	cancel          context.CancelFunc
@@ -47,7 +48,8 @@
 		d.postpone(func() { d.finishAttempt(a, upstream.Response{Result: balance.NotSent, Err: errAttemptNotStarted}) })
 		return
 	}
-	d.timers.add(timer{due: a.upstreamAttempt.Deadline, attempt: a})
+	a.deadlineTimer = &timer{due: a.upstreamAttempt.Deadline, attempt: a}
+	d.timers.add(a.deadlineTimer)
 	d.loop.workers.Go(func() {
 		// A canceled attempt counts as in flight until its connection is closed, and the attempts of a request must
 		// not overlap.
@@ -110,6 +112,9 @@
 	}
 	a.ended = true
 	a.cancel()
+	if a.deadlineTimer != nil {
+		d.timers.remove(a.deadlineTimer) // it would keep the request in memory until the deadline
+	}
 	if response.Result == balance.TimedOut && a.upstreamAttempt.ClaimStart() { // the request was never sent
 		response = upstream.Response{Result: balance.ConnectFailed, Err: errConnectTimeout}
 	}
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -123,7 +123,7 @@
 	case balance.CancelAttempt:
 		d.cancelAttempt(action)
 	case balance.SetTimer:
-		d.timers.add(timer{due: d.clock.Now() + action.Delay + balancerTimerDelay, token: action.Token})
+		d.timers.add(&timer{due: d.clock.Now() + action.Delay + balancerTimerDelay, token: action.Token})
 	case balance.HealthCheck:
 		d.healthCheck(action.Endpoint)
 	case balance.CloseIdle:
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -20,7 +20,7 @@
 	due := l.clock.Now() + 100
 	a := &attempt{}
 	l.dispatcher.execute([]balance.Action{{Kind: balance.SetTimer, Token: 7, Delay: due - l.clock.Now()}})
-	l.dispatcher.timers.add(timer{due: due, attempt: a})
+	l.dispatcher.timers.add(&timer{due: due, attempt: a})
 	if l.dispatcher.timers[0].attempt != a {
 		t.Error("the balancer's timer comes first")
 	}
--- a/internal/sidecar/request_test.go
+++ b/internal/sidecar/request_test.go
@@ -69,3 +69,19 @@
 			resp.Result, stub.Requests.Load(), balance.OK)
 	}
 }
+
+// Guards against answered requests that stay in memory, with their bodies, until the client's deadline.
+func TestAnsweredRequestIsReleased(t *testing.T) {
+	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
+	h := newHarnessWithEndpoints(t, stub.Addr)
+	if resp := h.do(nonIdempotentRequest("t")); resp.Result != balance.OK {
+		t.Fatalf("result %v, want %v", resp.Result, balance.OK)
+	}
+	h.runInLoop(func() {
+		for _, timer := range h.loop.dispatcher.timers {
+			if timer.attempt != nil {
+				t.Error("a timer still refers to the attempt of the answered request")
+			}
+		}
+	})
+}
