Remember requests that may have run, and do not run them again

Callers saw a non-idempotent request run twice when it came again, with the same trace ID, after its client had left. Cause: a trace ID was known only while its request was in the table, and the end of a canceled attempt removed it.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -25,6 +25,10 @@
 	// runtimeMemoryFraction is the fraction of the memory limit that the Go runtime may use. The rest is for the
 	// stacks of C code and for kernel buffers.
 	runtimeMemoryFraction = 0.7
+	// executionLogEntriesPerMB and maxExecutionLogEntries bound the requests that are remembered because they must not
+	// run again. An entry takes some 50 bytes.
+	executionLogEntriesPerMB = 256
+	maxExecutionLogEntries   = 1 << 16
 	// readAheadFraction is the fraction of the memory limit that read-ahead may use on all client connections together.
 	readAheadFraction = 1.0 / 32
 	// DefaultReadAheadBytes is the read-ahead budget of all client connections, in bytes, if there is no memory limit.
@@ -58,6 +62,14 @@
 	return int64(readAheadFraction * float64(l.MemoryMB) * bytesPerMB)
 }
 
+// ExecutionLogEntries returns how many requests that may have run are remembered, so that they do not run again.
+func (l Limits) ExecutionLogEntries() int {
+	if l.MemoryMB <= 0 {
+		return maxExecutionLogEntries
+	}
+	return min(maxExecutionLogEntries, executionLogEntriesPerMB*l.MemoryMB)
+}
+
 // RuntimeMemoryBytes returns the soft memory limit of the Go runtime in bytes, or 0 for no limit.
 func (l Limits) RuntimeMemoryBytes() int64 {
 	if l.MemoryMB <= 0 {
--- a/internal/downstream/handler.go
+++ b/internal/downstream/handler.go
@@ -50,7 +50,7 @@
 func (s *Server) serveRequest(w http.ResponseWriter, req *http.Request, parsed sidecar.Request) {
 	response, err := s.loop.Do(req.Context(), parsed)
 	switch {
-	case errors.Is(err, sidecar.ErrNotAccepted):
+	case errors.Is(err, sidecar.ErrNotAccepted), errors.Is(err, sidecar.ErrMayHaveRun):
 		http.Error(w, err.Error(), http.StatusConflict)
 	case err != nil:
 		panic(http.ErrAbortHandler) // returning normally would send an empty 200 response
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"log/slog"
 	"time"
 
@@ -34,6 +35,8 @@
 	timers            timerHeap
 	requests          map[balance.RequestID]*request // the request table
 	traceIDs          map[string]bool                // the trace IDs of all requests in the request table
+	executed          *balance.ExecutionLog          // requests that may have run and must not run again
+	hashSeed          maphash.Seed                   // of the hashes in executed
 	lastRequestID     balance.RequestID
 	endpoints         map[balance.EndpointID]*endpoint // the endpoint table: all listed endpoints
 	zones             []string                         // zone names, indexed by balance.Endpoint.Zone
@@ -57,6 +60,8 @@
 		discovery:    discovery.NewClient(l.config.Discovery),
 		requests:     map[balance.RequestID]*request{},
 		traceIDs:     map[string]bool{},
+		executed:     balance.NewExecutionLog(l.config.Limits.ExecutionLogEntries()),
+		hashSeed:     maphash.MakeSeed(),
 		endpoints:    map[balance.EndpointID]*endpoint{},
 		zones:        l.config.Settings.Zones,
 		machineTypes: l.config.Settings.MachineTypes,
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"math"
+	"slices"
 
 	"pebblelift/balance"
 	"pebblelift/internal/upstream"
@@ -25,6 +27,9 @@
 	// ErrNotAccepted means that the event loop did not accept the request, usually because a request with the same
 	// trace ID is in progress.
 	ErrNotAccepted = errors.New("trace id in use")
+	// ErrMayHaveRun means that a request with the same trace ID may have been executed before, and that the class does
+	// not permit a repetition.
+	ErrMayHaveRun = errors.New("a request with this trace id may have run")
 	// ErrStopped means that the event loop ended before there was a result.
 	ErrStopped = errors.New("the event loop has ended")
 )
@@ -65,46 +70,57 @@
 	inFlight    int // attempts that have not ended
 }
 
-// Do serves a request and returns its response. It returns ErrNotAccepted if the loop does not accept the request:
-// its trace ID is in use, the balancer returns an error for it, or the client disconnects or the loop ends before the
-// request is accepted. After that it returns the context's error if the client disconnects, and ErrStopped if the loop
-// ends.
+// acceptance is the answer of the event loop to a request: the request in the table, or why it is not accepted.
+type acceptance struct {
+	request *request
+	err     error
+}
+
+// Do serves a request and returns its response. It returns ErrNotAccepted if the trace ID is in use or the balancer
+// returns an error for the request, ErrMayHaveRun if the request may not run again, the context's error if the client
+// disconnects, and ErrStopped if the loop ends.
 func (l *Loop) Do(ctx context.Context, in Request) (Response, error) {
 	responses := make(chan Response, 1)
-	accepted := make(chan *request, 1)
+	accepted := make(chan acceptance, 1)
 	l.enqueue(func(d *dispatcher) {
 		if ctx.Err() != nil { // the client disconnected while the request waited for the loop
-			accepted <- nil
+			accepted <- acceptance{err: ctx.Err()}
 			return
 		}
-		accepted <- d.acceptRequest(in, responses)
+		r, err := d.acceptRequest(in, responses)
+		accepted <- acceptance{request: r, err: err}
 	})
-	var r *request
+	var a acceptance
 	select {
-	case r = <-accepted:
+	case a = <-accepted:
 	case <-l.ended:
+		return Response{}, ErrStopped
 	}
-	if r == nil {
-		return Response{}, ErrNotAccepted
+	if a.err != nil {
+		return Response{}, a.err
 	}
 	select {
 	case response := <-responses:
 		return response, nil
 	case <-ctx.Done():
-		l.enqueue(func(d *dispatcher) { d.handleClientCancel(r) })
+		l.enqueue(func(d *dispatcher) { d.handleClientCancel(a.request) })
 		return Response{}, ctx.Err()
 	case <-l.ended:
 		return Response{}, ErrStopped
 	}
 }
 
-// acceptRequest adds a request to the request table and passes it to the balancer. It returns nil if the trace ID is in
-// use or the balancer returns an error.
-func (d *dispatcher) acceptRequest(in Request, responses chan Response) *request {
+// acceptRequest adds a request to the request table and passes it to the balancer. It returns ErrNotAccepted if the
+// trace ID is in use or the balancer returns an error, and ErrMayHaveRun if the request may not run again.
+func (d *dispatcher) acceptRequest(in Request, responses chan Response) (*request, error) {
 	if d.traceIDs[in.TraceID] {
-		return nil
+		return nil, ErrNotAccepted
 	}
 	class := d.config.Settings.Balancer.Classes[in.Class]
+	if class.Idempotency != balance.Idempotent && d.executed.Contains(d.clock.Now(), d.hashTraceID(in.TraceID)) {
+		d.stats.Repeated++
+		return nil, ErrMayHaveRun
+	}
 	d.lastRequestID++
 	margin := math.Min(responseMargin, in.Timeout/responseMarginDivisor)
 	r := &request{
@@ -129,9 +145,9 @@
 	})
 	if err != nil {
 		d.removeRequest(r)
-		return nil
+		return nil, ErrNotAccepted
 	}
-	return r
+	return r, nil
 }
 
 // respond sends the response to a request, unless the request is closed.
@@ -177,6 +193,18 @@
 
 // removeRequest removes a request from the request table, so that its trace ID can be used again.
 func (d *dispatcher) removeRequest(r *request) {
+	if r.idempotency != balance.Idempotent && r.mayHaveRun() {
+		d.executed.Add(d.clock.Now(), d.hashTraceID(r.TraceID))
+	}
 	delete(d.requests, r.id)
 	delete(d.traceIDs, r.TraceID)
 }
+
+// mayHaveRun reports whether an attempt of the request may have been executed.
+func (r *request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.notExecuted })
+}
+
+// hashTraceID returns a hash of a trace ID. Its seed differs from process to process, so that no client can choose two
+// IDs with the same hash.
+func (d *dispatcher) hashTraceID(traceID string) uint64 { return maphash.String(d.hashSeed, traceID) }
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -23,6 +23,7 @@
 	Requests          int                      // requests added to the request table
 	OpenRequests      int                      // requests in the request table now
 	OpenTraceIDs      int                      // trace IDs in use now
+	Repeated          int                      // requests that were not accepted because they may have run before
 	ClientsCanceled   int                      // requests whose client disconnected before the response
 	Responses         [balance.ResultCount]int // responses to clients, by Response.Result
 	Attempts          [balance.ResultCount]int // ended attempts, by result
@@ -72,6 +73,7 @@
 	d.log.Info("status",
 		"requests", stats.Requests,
 		"open", len(d.requests),
+		"repeated", stats.Repeated,
 		slog.Group("responses",
 			"served", stats.Responses[balance.OK],
 			"rejected", stats.Responses[balance.Rejected],
