Wait out errors of system calls that pass by themselves, at every call

Callers saw a process that ended by itself. Cause: accept failing with ENOBUFS, ENOMEM, EPROTO, ENETDOWN, ENETUNREACH or EHOSTUNREACH ended Serve, and with it the process. The same mistake stood in related code: a connect that failed on this machine (ENETUNREACH, ENOBUFS, ENFILE, EMFILE) failed the attempt and counted against the endpoint; a call to discovery failed the same way; an address that a dying process still held kept the sidecar from starting.

Package transient waits out such errors with a bounded, growing pause and counts them (waited_out_errors in the status line): accept and gossip reads until the socket is closed; connects within their timeout, unless the error comes from the peer (ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ETIMEDOUT, EPIPE); sockets that listen for 3 s.

The read of the gossip socket has no test.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -18,6 +18,7 @@
 	"pebblelift/internal/config"
 	"pebblelift/internal/downstream"
 	"pebblelift/internal/sidecar"
+	"pebblelift/internal/transient"
 )
 
 // configVariable names the environment variable that holds the path of the configuration file.
@@ -42,7 +43,11 @@
 	}
 	applyRuntimeLimits(cfg.Limits)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	listener, err := net.Listen("tcp", cfg.Listen)
+	var listener net.Listener
+	err = transient.Listen(func() (err error) {
+		listener, err = net.Listen("tcp", cfg.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -289,3 +289,24 @@
 		t.Errorf("health: status %d, want %d", status, http.StatusOK)
 	}
 }
+
+// Guards against a sidecar that refuses to start because its address is in use for a moment, as by a process that is
+// just ending.
+func TestStartWaitsForAddress(t *testing.T) {
+	discovery, _ := startDiscovery(t)
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "1", "settings":
+		{"classes": [{"name": "read", "effect": "read_like", "hard_limit_ms": 1000}]}}`, holder.Addr(), discovery)
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(300*time.Millisecond, func() { holder.Close() })
+	_, lines := startSidecar(t, path)
+	if line := <-lines; !strings.Contains(line, "msg=serving") {
+		t.Errorf("first log line %q, want one that says serving", line)
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"pebblelift/internal/transient"
 )
 
 const (
@@ -35,9 +37,6 @@
 	maxMessageSize = 4 << 20
 )
 
-// DialFunc opens a connection, as net.Dialer.DialContext does.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Client makes calls to one discovery service.
 type Client struct {
 	url          string // URL of the endpoint list, without a query
@@ -51,12 +50,14 @@
 }
 
 // NewClientWithDialer returns a client of the discovery service at an address, which uses dial to open connections.
-func NewClientWithDialer(addr string, dial DialFunc) *Client {
+func NewClientWithDialer(addr string, dial transient.DialFunc) *Client {
 	return &Client{
 		url:          "http://" + addr + catalogPath,
 		stallTimeout: WatchStallTimeout,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:        dial,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return transient.Dial(ctx, dial, network, address)
+			},
 			DisableKeepAlives:  true, // on reused connections the transport may send a call twice
 			DisableCompression: true,
 		}},
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -10,6 +12,7 @@
 
 	"pebblelift/internal/config"
 	"pebblelift/internal/sidecar"
+	"pebblelift/internal/transient"
 )
 
 const (
@@ -68,11 +71,16 @@
 
 // Accept returns the next connection for which there is a slot. It rejects connections for which there is none.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
+	for backoff := (transient.Backoff{}); ; {
 		c, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil { // whatever else makes accept fail passes by itself
+			backoff.Wait(context.Background())
+			continue
+		}
+		backoff.Reset()
 		select {
 		case l.slots <- struct{}{}:
 			l.accepted.Add(1)
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -1,9 +1,12 @@
 package downstream
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,3 +82,48 @@
 	late.Close()
 	inner.Close()
 }
+
+// failingListener is a listener whose Accept fails with each of the errors before it works.
+type failingListener struct {
+	net.Listener
+	errors []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errors) == 0 {
+		return l.Listener.Accept()
+	}
+	err := l.errors[0]
+	l.errors = l.errors[1:]
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+}
+
+// Guards against a process that ends because accept fails for a moment.
+func TestAcceptErrorsAreWaitedOut(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: inner}
+	for _, errno := range []syscall.Errno{
+		syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+		syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.EPERM, syscall.EINTR,
+	} {
+		failing.errors = append(failing.errors, errno, errno)
+	}
+	server := newHarnessWithEndpoints(t, nettest.ClosedAddress(t)).server
+	ended := make(chan error, 1)
+	ctx, shutDown := context.WithCancel(t.Context())
+	go func() { ended <- server.Serve(ctx, failing) }()
+	h := &harness{t: t, addr: inner.Addr().String()}
+	const health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+	if resp, _ := h.request(health); resp.StatusCode != http.StatusOK && resp.StatusCode != 503 {
+		t.Errorf("status %d, want an answer to the health check", resp.StatusCode)
+	}
+	select {
+	case err := <-ended:
+		t.Errorf("Serve ended with %v", err)
+	default:
+	}
+	shutDown()
+}
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -2,6 +2,7 @@
 package gossip
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 
 	"pebblelift/balance"
 	"pebblelift/internal/config"
+	"pebblelift/internal/transient"
 )
 
 const (
@@ -22,9 +24,6 @@
 	// sendTimeout is the longest time that sending a gossip message may take. A datagram may be lost, but the event
 	// loop must not wait for it.
 	sendTimeout = 10 * time.Millisecond
-
-	// readRetryDelay is the pause after a failed read from the gossip socket.
-	readRetryDelay = 100 * time.Millisecond
 )
 
 // Transport is a UDP socket for messages to and from the other sidecars.
@@ -37,7 +36,11 @@
 
 // Open opens the socket at the configured listen address. The error says why the socket could not be opened.
 func Open(c config.Gossip) (*Transport, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Listen))
+	var conn *net.UDPConn
+	err := transient.Listen(func() (err error) {
+		conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Listen))
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
@@ -78,15 +81,16 @@
 // It continues after a failed read, because the socket remains usable.
 func (t *Transport) Receive(handle func(sender int, data []byte)) {
 	buf := make([]byte, maxDatagramSize+1) // the extra byte reveals datagrams that are too large
-	for {
+	for backoff := (transient.Backoff{}); ; {
 		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			time.Sleep(readRetryDelay)
+			backoff.Wait(context.Background())
 			continue
 		}
+		backoff.Reset()
 		handle(t.sender(from), append([]byte(nil), buf[:n]...))
 	}
 }
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pebblelift/balance"
+	"pebblelift/internal/transient"
 	"pebblelift/internal/upstream"
 )
 
@@ -98,6 +99,7 @@
 			"overdue", stats.DiscoveryOverdue,
 			"latency_ms", stats.DiscoveryLatency,
 			"generation", d.generation),
+		"waited_out_errors", transient.Total(),
 		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses),
 		slog.Group("clients", d.clientConnectionCounts()...),
 		slog.Group("gossip", "received", lb.GossipReceived, "dropped", lb.GossipDropped))
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"pebblelift/internal/transient"
 )
 
 // acquire returns a connection for a round trip: an idle one if there is any that can be reused, or a new one.
@@ -18,7 +20,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
 	defer cancel()
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := transient.Dial(ctx, p.dialer.DialContext, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/upstream/acquire_test.go
+++ b/internal/upstream/acquire_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"pebblelift/balance"
+	"pebblelift/internal/clock"
 	"pebblelift/internal/nettest"
 )
 
@@ -104,3 +109,43 @@
 	nettest.Receive(t, done)
 	nettest.Eventually(t, "no connection is open", func() bool { return pool.openConnections() == 0 })
 }
+
+// Guards against attempts that fail, and endpoints that count as failing, because connect fails on this machine for a
+// moment.
+func TestPassingConnectErrorsAreWaitedOut(t *testing.T) {
+	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
+	passing := []error{
+		syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.ENFILE, syscall.EMFILE, syscall.EINTR,
+	}
+	var failures []error
+	pool := NewPool(Options{
+		Clock: clock.New(), MaxConnections: 20, ConnectTimeout: nettest.Timeout,
+		Control: func(string, string, syscall.RawConn) error {
+			if len(failures) == 0 {
+				return nil
+			}
+			err := failures[0]
+			failures = failures[1:]
+			return os.NewSyscallError("connect", err)
+		},
+	})
+	for _, err := range passing {
+		failures = []error{err, err}
+		e := &Endpoint{}
+		pool.UpdateEndpoint(e, stub.Addr, true)
+		r := pool.Do(t.Context(), &Attempt{
+			Endpoint: e, Request: Request{Method: "GET", Target: "/"},
+			Deadline: pool.options.Clock.Now() + 9000, StartBefore: math.Inf(1),
+		})
+		if r.Result != balance.OK || len(failures) != 0 {
+			t.Errorf("%v: result %v, error %v, want %v", err, r.Result, r.Err, balance.OK)
+		}
+		pool.CloseIdle(e)
+	}
+	failures = []error{syscall.ECONNREFUSED}
+	e := &Endpoint{}
+	pool.UpdateEndpoint(e, stub.Addr, true)
+	if _, err := pool.acquire(t.Context(), e, newRoundTrip("GET")); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("error %v, want %v at once, because it comes from the endpoint", err, syscall.ECONNREFUSED)
+	}
+}
