Limit the log lines of each kind

Package boundedlog writes at most 120 lines with the same message in 5 s; the next one says how many were dropped.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"pebblelift/internal/boundedlog"
 	"pebblelift/internal/clock"
 	"pebblelift/internal/config"
 	"pebblelift/internal/downstream"
@@ -42,10 +43,11 @@
 		return err
 	}
 	applyRuntimeLimits(cfg.Limits)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(boundedlog.New(slog.NewTextHandler(os.Stderr, nil)))
 	var listener net.Listener
+	listenConfig := net.ListenConfig{KeepAlive: -1} // no TCP keep-alive, as all waits for clients have deadlines
 	err = transient.Listen(func() (err error) {
-		listener, err = net.Listen("tcp", cfg.Listen)
+		listener, err = listenConfig.Listen(context.Background(), "tcp", cfg.Listen)
 		return err
 	})
 	if err != nil {
