--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,68 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pebblelift/internal/nettest"
+)
+
+// Guards against unfinished messages that leave no room for accepted requests, and against bytes that are counted twice
+// or never released.
+func TestMemoryKeepsRoomForRequests(t *testing.T) {
+	m := NewMemory(1000)
+	if m.TryReserve(Unfinished, 401) || !m.TryReserve(Unfinished, 400) || m.TryReserve(Unfinished, 1) {
+		t.Error("want room for exactly 400 of 1000 bytes of unfinished messages")
+	}
+	body := m.Move(Unfinished, Requests, 400)
+	if !m.TryReserve(Unfinished, 400) || !m.TryReserve(Responses, 200) || m.TryReserve(Connections, 1) {
+		t.Error("want room for exactly 600 bytes beside a request of 400 bytes")
+	}
+	reserved := make(chan error, 1)
+	go func() { reserved <- m.Reserve(t.Context(), Responses, 300) }()
+	nettest.Eventually(t, "the reservation waits", func() bool { return m.Usage().Refused[Responses] == 1 })
+	body.Shrink(350)
+	body.Release()
+	body.Release()
+	if err := nettest.Receive(t, reserved); err != nil {
+		t.Errorf("error %v, want room once a request is released", err)
+	}
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := m.Reserve(expired, Responses, 900); err == nil {
+		t.Error("a reservation of more than there is did not fail when its context ended")
+	}
+	want := Usage{Capacity: 1000, Peak: 1000, Used: [PartCount]int64{Unfinished: 400, Responses: 500}}
+	if got := m.Usage(); got.Used != want.Used || got.Peak != want.Peak || got.Capacity != want.Capacity {
+		t.Errorf("usage %+v, want %+v", got, want)
+	}
+	var none *Reservation
+	none.Release()
+}
+
+// Guards against a client that gets more than its share by sending without pause, and against tokens that are lost while
+// nobody takes any.
+func TestTokenBucketLimitsRate(t *testing.T) {
+	const interval = 10 * time.Millisecond
+	start := time.Now()
+	b := TokenBucket{Interval: interval, Burst: 3}
+	for i := range 6 {
+		want := max(0, time.Duration(i-2)*interval)
+		if got := b.Take(start); got != want {
+			t.Errorf("token %d: wait %v, want %v", i, got, want)
+		}
+	}
+	if got := b.TakeWithin(start, interval); got != interval || b.Take(start) != 4*interval {
+		t.Errorf("wait %v, want %v and no token taken", got, interval)
+	}
+	later := start.Add(time.Minute)
+	for i := range 3 {
+		if wait := b.TakeWithin(later, 0); wait != 0 {
+			t.Errorf("token %d after a minute: wait %v, want none", i, wait)
+		}
+	}
+	if wait := b.TakeWithin(later, time.Second); wait != interval {
+		t.Errorf("wait %v, want %v", wait, interval)
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -23,16 +23,21 @@
 	// bytesPerMB is the number of bytes in one megabyte (MiB) of the memory limit.
 	bytesPerMB = 1 << 20
 	// runtimeMemoryFraction is the fraction of the memory limit that the Go runtime may use. The rest is for the
-	// stacks of C code and for kernel buffers.
+	// program itself, the stacks of C code and kernel buffers.
 	runtimeMemoryFraction = 0.7
+	// programBytes is the memory that is not the Go runtime's: the pages of the program and of the C library.
+	programBytes = 11 << 20
+	// restBytes is the memory of a process that holds nothing for its peers.
+	restBytes = 14 << 20
+	// bufferFraction is the fraction of the memory above restBytes that may be held for peers. The Go runtime needs as
+	// much again until it collects what is no longer used.
+	bufferFraction = 1.0 / 3
 	// executionLogEntriesPerMB and maxExecutionLogEntries bound the requests that are remembered because they must not
 	// run again. An entry takes some 50 bytes.
 	executionLogEntriesPerMB = 256
 	maxExecutionLogEntries   = 1 << 16
-	// readAheadFraction is the fraction of the memory limit that read-ahead may use on all client connections together.
-	readAheadFraction = 1.0 / 32
-	// DefaultReadAheadBytes is the read-ahead budget of all client connections, in bytes, if there is no memory limit.
-	DefaultReadAheadBytes = 4 << 20
+	// minBufferBytes is the least memory that is held for peers, whatever the limit.
+	minBufferBytes = 2 << 20
 )
 
 // DownstreamConnections returns the maximum number of open client connections. Clients get all file descriptors that
@@ -53,13 +58,14 @@
 	return max(1, min(l.Sockets/3+healthCheckConnections, (l.Sockets-reservedDescriptors)/2))
 }
 
-// ReadAheadBytes returns the maximum number of bytes, over all client connections, that are read of further requests
-// while earlier requests are being answered.
-func (l Limits) ReadAheadBytes() int64 {
+// BufferBytes returns how much memory in bytes may be held for all peers together: connections, messages, requests and
+// responses. The result is 0 for no limit.
+func (l Limits) BufferBytes() int64 {
 	if l.MemoryMB <= 0 {
-		return DefaultReadAheadBytes
+		return 0
 	}
-	return int64(readAheadFraction * float64(l.MemoryMB) * bytesPerMB)
+	available := float64(l.MemoryMB)*bytesPerMB - restBytes
+	return max(minBufferBytes, int64(bufferFraction*available))
 }
 
 // ExecutionLogEntries returns how many requests that may have run are remembered, so that they do not run again.
@@ -75,7 +81,8 @@
 	if l.MemoryMB <= 0 {
 		return 0
 	}
-	return int64(runtimeMemoryFraction * float64(l.MemoryMB) * bytesPerMB)
+	limit := float64(l.MemoryMB) * bytesPerMB
+	return int64(max(limit/2, min(runtimeMemoryFraction*limit, limit-programBytes)))
 }
 
 // Processors returns the number of threads that may run Go code at the same time (GOMAXPROCS).
--- /dev/null
+++ b/internal/downstream/conn.go
@@ -0,0 +1,326 @@
+package downstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pebblelift/internal/budget"
+	"pebblelift/internal/upstream"
+)
+
+const (
+	// maxReadAhead is how many bytes of further requests are read on one connection while a request is being
+	// answered. Clients send one request at a time, and the largest request is smaller than this. A client that sends
+	// more counts as disconnected, because its disconnect could not be noticed behind unread data.
+	maxReadAhead = 2 * upstream.MaxBodySize
+	// readAheadBufferSize is the size in bytes of the buffer for reads between messages and while a message is
+	// processed. It holds a usual head.
+	readAheadBufferSize = 1 << 10
+	// connectionCost is the memory in bytes that a connection takes besides what its client sends: its goroutine, its
+	// descriptor in the runtime, its read-ahead buffer and its state.
+	connectionCost = 6 << 10
+)
+
+// pastDeadline is a read deadline in the past, which ends a read that waits.
+var pastDeadline = time.Unix(1, 0)
+
+// conn is a connection of a client. One goroutine, the reader, reads from it until it ends, also while a request is
+// being answered, so that a disconnect is noticed at once. Messages are processed one after the other: by the reader,
+// or by the goroutine that answers a request, until none is left.
+type conn struct {
+	net.Conn
+	server   *Server
+	acceptAt time.Time
+	ctx      context.Context // ends when the client disconnects
+	cancel   context.CancelFunc
+	answered budget.TokenBucket // limits messages that are answered without an endpoint
+	cut      chan struct{}      // closed when a connection that is held has to give up its slot
+
+	// unfinishedSince is when the client began the message that has not arrived whole, in Unix nanoseconds, or 0.
+	unfinishedSince atomic.Int64
+
+	readAhead [readAheadBufferSize]byte // used by the reader only
+
+	mu         sync.Mutex
+	continued  sync.Cond // signals that the state below has changed; its lock is mu
+	parser     parser
+	pending    *work     // the message whose body is arriving; nil while a head arrives
+	arrivals   arrivals  // when the bytes in the parser have arrived
+	reserved   int64     // bytes of the budget that the parser's buffer uses
+	processing bool      // a goroutine processes messages
+	inFlight   bool      // the event loop serves a request
+	gone       bool      // the client has disconnected, or the connection is closed
+	ending     bool      // a goroutine ends the connection: nothing that arrives counts any more
+	reused     bool      // a message was answered on this connection
+	rejection  error     // why the message that has not arrived whole is to be rejected; nil if it is not
+	headAt     time.Time // when the first byte of the present message arrived
+	bodyAt     time.Time // when the head of the present message was complete
+	idleAt     time.Time // when the last message was answered
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{Conn: nc, server: s, acceptAt: time.Now(), cut: make(chan struct{})}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.continued.L = &c.mu
+	c.answered = budget.TokenBucket{Interval: answeredInterval, Burst: answeredBurst}
+	return c
+}
+
+// serve reads from the connection until it ends.
+func (c *conn) serve() {
+	for {
+		space, ok := c.prepareRead()
+		if !ok {
+			return
+		}
+		n, err := c.Read(space)
+		c.afterRead(space[:n], err)
+	}
+}
+
+// prepareRead waits until more may be read, and returns the space for it. It reports false once the connection ends.
+func (c *conn) prepareRead() (space []byte, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.processing && !c.inFlight && !c.gone && !c.ending {
+		c.continued.Wait()
+	}
+	if c.rejection != nil && !c.processing {
+		c.process()
+	}
+	if c.gone || c.ending {
+		return nil, false
+	}
+	c.SetReadDeadline(c.readDeadline())
+	if !c.processing && !c.parser.empty() && len(c.parser.space()) > 0 {
+		return c.parser.space(), true // nobody else uses the parser until the reader has parsed what arrives
+	}
+	return c.readAhead[:], true
+}
+
+// afterRead takes note of what was read, and processes the messages that are complete.
+func (c *conn) afterRead(p []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p) > 0 {
+		c.receive(p)
+	}
+	now := time.Now()
+	switch {
+	case c.gone || c.ending:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.handleDeadline(now)
+	case err != nil:
+		c.disconnect()
+	case !c.processing && c.rejection == nil:
+		c.process()
+	}
+}
+
+// receive passes what was read to the parser. The caller holds mu, which receive releases while it makes room.
+func (c *conn) receive(p []byte) {
+	if c.parser.empty() {
+		c.headAt = time.Now()
+		if !c.reused {
+			c.headAt = c.acceptAt
+		}
+		if !c.processing {
+			c.unfinishedSince.Store(time.Now().UnixNano())
+		}
+	}
+	if c.parser.hasRead(p) {
+		c.parser.received(len(p))
+	} else if !c.store(p) {
+		return
+	}
+	if !c.processing {
+		c.arrivals.marks = nil // what arrives now completes the present message, if anything does
+	}
+	c.arrivals.add(len(p), time.Now())
+	if c.inFlight && len(c.parser.buffer) > maxReadAhead {
+		c.disconnect()
+	}
+}
+
+// store copies what was read to the parser's buffer, which grows for it. If there is no memory, the message is rejected;
+// read-ahead without memory ends the connection, as a disconnect could not be noticed any more. It reports whether the
+// bytes were stored. The caller holds mu, which store releases for a while.
+func (c *conn) store(p []byte) bool {
+	size := c.parser.sizeFor(len(p))
+	if more := int64(size) - c.reserved; more > 0 {
+		c.mu.Unlock()
+		reserved := c.server.reserve(budget.Unfinished, more)
+		c.mu.Lock()
+		if !reserved {
+			c.handleNoMemory()
+			return false
+		}
+		c.reserved += more
+	}
+	if c.gone || c.ending || c.rejection != nil {
+		c.dropBuffer()
+		return false
+	}
+	c.parser.store(p, size)
+	return true
+}
+
+// handleNoMemory rejects the message that arrives, or ends the connection of a client whose request is in flight. The
+// caller holds mu.
+func (c *conn) handleNoMemory() {
+	if c.inFlight {
+		c.disconnect()
+		return
+	}
+	c.reject(errNoMemory)
+}
+
+// reject arranges that the message that has not arrived whole is rejected, and releases what it holds. The caller holds
+// mu.
+func (c *conn) reject(reason error) {
+	c.rejection = reason
+	c.dropBuffer()
+}
+
+// handleDeadline handles the end of a read deadline. A deadline of an earlier state has no effect. The caller holds mu.
+func (c *conn) handleDeadline(now time.Time) {
+	deadline := c.deadline()
+	switch {
+	case c.processing || c.rejection != nil:
+	case c.shouldDrain():
+		c.disconnect()
+	case deadline.IsZero() || now.Before(deadline):
+	case c.parser.empty() && c.pending == nil:
+		c.disconnect()
+	default:
+		c.reject(errTimeout)
+	}
+}
+
+// deadline returns until when the reader waits for the client, or the zero time if there is no limit. The caller holds
+// mu.
+func (c *conn) deadline() time.Time {
+	timeouts := &c.server.timeouts
+	switch {
+	case c.processing:
+		return time.Time{}
+	case c.pending != nil:
+		return c.bodyAt.Add(timeouts.body)
+	case !c.parser.empty():
+		return c.headAt.Add(timeouts.head)
+	case c.reused:
+		return c.idleAt.Add(timeouts.idle)
+	default:
+		return c.acceptAt.Add(timeouts.head)
+	}
+}
+
+// readDeadline returns the read deadline for the present state. The caller holds mu.
+func (c *conn) readDeadline() time.Time {
+	if c.shouldDrain() || c.rejection != nil && !c.processing {
+		return pastDeadline
+	}
+	return c.deadline()
+}
+
+// shouldDrain reports whether the connection is idle and the server's drain mode applies to it. The caller holds mu.
+func (c *conn) shouldDrain() bool {
+	mode := drainMode(c.server.drainMode.Load())
+	idle := !c.processing && c.pending == nil && c.parser.empty()
+	return idle && (mode >= drainAll || mode == drainReused && c.reused)
+}
+
+// drain ends the connection if it is idle and the server's drain mode applies to it. At the end of the shutdown it
+// rejects a message that has not arrived whole.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone || c.ending || c.processing {
+		return
+	}
+	isUnfinished := c.pending != nil || !c.parser.empty()
+	if drainMode(c.server.drainMode.Load()) == drainUnfinished && isUnfinished && c.rejection == nil {
+		c.reject(errShutdown)
+	}
+	c.SetReadDeadline(c.readDeadline())
+}
+
+// evict rejects a message that has not arrived whole, and releases its memory. It reports whether there was one.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.processing || c.gone || c.ending || c.rejection != nil || c.reserved == 0 {
+		return false
+	}
+	c.reject(errNoMemory)
+	c.SetReadDeadline(pastDeadline)
+	return true
+}
+
+// disconnect takes note that the client has gone: its request is canceled, nothing else of it is served, and the
+// connection is closed. The caller holds mu.
+func (c *conn) disconnect() {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	c.cancel()
+	c.dropBuffer()
+	c.continued.Broadcast()
+	c.Conn.Close()
+	c.server.release(c)
+}
+
+// dropBuffer releases what has arrived and was not processed. The caller holds mu.
+func (c *conn) dropBuffer() {
+	c.parser.drop()
+	c.pending, c.arrivals = nil, arrivals{}
+	c.unfinishedSince.Store(0)
+	c.server.memory.Release(budget.Unfinished, c.reserved)
+	c.reserved = 0
+}
+
+// close ends the connection.
+func (c *conn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disconnect()
+}
+
+// arrivals remembers when the bytes of a connection arrived, for messages that wait behind others.
+type arrivals struct {
+	received int // bytes since the buffer was empty
+	marks    []arrivalMark
+}
+
+// arrivalMark says when the last of a number of bytes arrived.
+type arrivalMark struct {
+	received int
+	at       time.Time
+}
+
+// maxArrivalMarks limits the marks of a connection. Beyond it, bytes count as arrived with the last marked ones.
+const maxArrivalMarks = 16
+
+// add takes note of the arrival of bytes.
+func (a *arrivals) add(bytes int, now time.Time) {
+	a.received += bytes
+	if len(a.marks) < maxArrivalMarks {
+		a.marks = append(a.marks, arrivalMark{at: now})
+	}
+	a.marks[len(a.marks)-1].received = a.received
+}
+
+// take returns when the last byte arrived that is not among the remaining ones, and forgets earlier arrivals.
+func (a *arrivals) take(remaining int) time.Time {
+	end := a.received - remaining
+	for len(a.marks) > 1 && a.marks[0].received < end {
+		a.marks = a.marks[1:]
+	}
+	return a.marks[0].at
+}
--- a/internal/downstream/harness_test.go
+++ b/internal/downstream/harness_test.go
@@ -152,12 +152,10 @@
 }
 
 // recordedHeads returns what was read of a head that is not complete yet on each open connection.
-func recordedHeads(l *limitedListener) (heads []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
+func recordedHeads(table *connTable) (heads []string) {
+	for _, c := range table.all() {
 		c.mu.Lock()
-		heads = append(heads, string(c.framer.partial))
+		heads = append(heads, string(c.parser.buffer))
 		c.mu.Unlock()
 	}
 	return heads
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"syscall"
 	"testing"
-	"time"
 
 	"pebblelift/internal/config"
 	"pebblelift/internal/nettest"
@@ -17,15 +17,10 @@
 // At the connection limit a further connection is answered with 503 at once. When a connection closes, its slot is
 // free again.
 func TestExcessConnectionsAreRejected(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := newLimitedListener(inner, 1, config.DefaultReadAheadBytes)
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-	go server.Serve(ln)
-	defer server.Close()
-	h := &harness{t: t, addr: inner.Addr().String()}
+	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
+	h := newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
+		s.table = newConnTable(1)
+	})
 	first, firstReader := h.connect()
 	io.WriteString(first, idempotentRequest("1"))
 	h.readResponse(firstReader)
@@ -35,7 +30,7 @@
 		t.Errorf("second connection: status %d, close %v, want 503 and close", resp.StatusCode, resp.Close)
 	}
 	first.Close()
-	nettest.Eventually(t, "the slot is free", func() bool { return len(ln.slots) == 0 })
+	nettest.Eventually(t, "the slot is free", func() bool { return h.server.table.size() == 0 })
 	if resp, _ := h.request(idempotentRequest("3")); resp.StatusCode != 200 {
 		t.Errorf("third connection: status %d, want 200", resp.StatusCode)
 	}
@@ -47,12 +42,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln := newLimitedListener(inner, 0, config.DefaultReadAheadBytes)
-	for range cap(ln.rejectionSlots) { // simulates clients that are slow to close their connections
-		ln.rejectionSlots <- struct{}{}
-	}
-	go ln.Accept()
 	defer inner.Close()
+	server := NewServer(newHarnessWithEndpoints(t, nettest.ClosedAddress(t)).loop, slog.New(slog.DiscardHandler))
+	server.table = newConnTable(0)
+	slots := make(chan struct{}, config.MaxConcurrentRejections)
+	for range cap(slots) { // simulates clients that are slow to close their connections
+		slots <- struct{}{}
+	}
+	go func() {
+		for {
+			c, err := inner.Accept()
+			if err != nil {
+				return
+			}
+			server.admit(c, slots)
+		}
+	}()
 	h := &harness{t: t, addr: inner.Addr().String()}
 	for range 2 {
 		_, reader := h.connect()
@@ -62,25 +67,19 @@
 	}
 }
 
-// A connection that is accepted just before the listener closes may come after all others are drained. Guards against a
+// A connection that is accepted just before the listener closes may come after all others have ended. Guards against a
 // panic at the end of such a connection.
 func TestConnectionAfterDrain(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := newLimitedListener(inner, 1, config.DefaultReadAheadBytes)
-	h := &harness{t: t, addr: inner.Addr().String()}
-	h.connect()
-	inner.(*net.TCPListener).SetDeadline(time.Now().Add(nettest.Timeout))
-	ln.drain(drainAll)
-	nettest.Receive(t, ln.drained)
-	late, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	late.Close()
-	inner.Close()
+	table := newConnTable(1)
+	first, late := &conn{}, &conn{}
+	table.add(first)
+	empty := table.empty()
+	table.remove(first)
+	nettest.Receive(t, empty)
+	table.add(late)
+	table.remove(late)
+	table.remove(late)
+	nettest.Receive(t, table.empty())
 }
 
 // failingListener is a listener whose Accept fails with each of the errors before it works.
@@ -111,7 +110,7 @@
 	} {
 		failing.errors = append(failing.errors, errno, errno)
 	}
-	server := newHarnessWithEndpoints(t, nettest.ClosedAddress(t)).server
+	server := NewServer(newHarnessWithEndpoints(t, nettest.ClosedAddress(t)).loop, slog.New(slog.DiscardHandler))
 	ended := make(chan error, 1)
 	ctx, shutDown := context.WithCancel(t.Context())
 	go func() { ended <- server.Serve(ctx, failing) }()
--- a/internal/downstream/message_framer_test.go
+++ b/internal/downstream/parser_test.go
@@ -95,9 +95,9 @@
 	}
 }
 
-// For any bytes of a client, each request that net/http finds among them is one that the framer has found too, or one
-// that is rejected together with all that follow.
-func FuzzMessageFramer(f *testing.F) {
+// For any bytes of a client, each request that the parser finds is one that net/http finds at the same place, with the
+// same target and body. Whatever follows a message that the parser rejects is not read as a request at all.
+func FuzzParser(f *testing.F) {
 	const start = "POST /a HTTP/1.1\r\nHost: x\r\n"
 	for _, stream := range []string{
 		start + "Content-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -108,59 +108,70 @@
 		start + "X: y\r\n Content-Length: 3\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 		start + "Content-Length:\r\n 3\r\n\r\nabcGET / HTTP/1.1\nHost: x\n\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
 		"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"\r\n" + start + "Content-Length: 0\r\n\r\n\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 	} {
 		for _, partSize := range []uint8{1, 5, 255} {
 			f.Add([]byte(stream), partSize)
 		}
 	}
 	f.Fuzz(func(t *testing.T, stream []byte, partSize uint8) {
-		var framer messageFramer
-		for part := range slices.Chunk(stream, max(1, int(partSize))) {
-			framer.follow(part)
-		}
-		source := bytes.NewReader(stream)
-		reader := bufio.NewReader(source)
-		for method := ""; ; {
-			if method == http.MethodPost { // net/http skips some line breaks after a POST
-				skipLineBreaks(reader)
-			}
-			req, err := http.ReadRequest(reader)
+		reader := bufio.NewReader(bytes.NewReader(stream))
+		for _, got := range parseStream(stream, int(partSize)) {
+			skipLineBreaks(reader)
+			want, err := http.ReadRequest(reader)
 			if err != nil {
-				return
-			}
-			head, ok := framer.takeHead()
-			if !ok || head.ambiguous || !head.belongsTo(req) {
-				return // rejected
-			}
-			if want := req.ContentLength; head.chunked != (want < 0) || !head.chunked && head.contentLength != uint64(want) {
-				t.Fatalf("%q: chunked %v with length %d, want length %d", head.requestLine, head.chunked, head.contentLength, want)
+				t.Fatalf("%q: the parser found %q, net/http error %v", stream, got.target, err)
 			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
-				return
+			body, err := io.ReadAll(want.Body)
+			if err != nil || got.method != want.Method || got.target != want.RequestURI || got.body != string(body) {
+				t.Fatalf("%q: the parser found %+v, net/http %s %s with body %q and error %v",
+					stream, got, want.Method, want.RequestURI, body, err)
 			}
-			checkPosition(t, stream, len(stream)-source.Len()-reader.Buffered(), partSize)
-			method = req.Method
 		}
 	})
 }
 
-// checkPosition checks that the framer is between two messages after the given number of bytes, unless it has lost the
-// framing.
-func checkPosition(t *testing.T, stream []byte, position int, partSize uint8) {
-	t.Helper()
-	var framer messageFramer
-	for part := range slices.Chunk(stream[:position], max(1, int(partSize))) {
-		framer.follow(part)
-	}
-	framer.heads = nil
-	if !framer.betweenMessages() && framer.state != framingLost {
-		t.Fatalf("after %q: state %d, want the end of a message", stream[:position], framer.state)
+// parsedMessage is a message that the parser has found.
+type parsedMessage struct{ method, target, body string }
+
+// parseStream passes a stream to a parser in parts and returns the messages up to the first error.
+func parseStream(stream []byte, partSize int) (messages []parsedMessage) {
+	var p parser
+	for part := range slices.Chunk(stream, max(1, partSize)) {
+		p.store(part, p.sizeFor(len(part)))
+		for {
+			if p.head == nil {
+				if head, err := p.readHead(); err != nil {
+					return messages
+				} else if head == nil {
+					break
+				}
+			}
+			head := p.head
+			body, complete, err := p.readBody()
+			if err != nil {
+				return messages
+			}
+			if !complete {
+				break
+			}
+			messages = append(messages, parsedMessage{head.method, head.target, string(body)})
+		}
 	}
+	return messages
 }
 
-// skipLineBreaks skips up to four line breaks, as net/http does.
+// skipLineBreaks skips the empty lines that the parser skips before a message.
 func skipLineBreaks(reader *bufio.Reader) {
-	const most = 4
-	peeked, _ := reader.Peek(most)
-	reader.Discard(len(peeked) - len(bytes.TrimLeft(peeked, "\r\n")))
+	for {
+		peeked, _ := reader.Peek(2)
+		switch {
+		case bytes.HasPrefix(peeked, []byte("\n")):
+			reader.Discard(1)
+		case bytes.HasPrefix(peeked, []byte("\r\n")):
+			reader.Discard(2)
+		default:
+			return
+		}
+	}
 }
--- /dev/null
+++ b/internal/downstream/process.go
@@ -0,0 +1,287 @@
+package downstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"pebblelift/internal/budget"
+	"pebblelift/internal/sidecar"
+)
+
+const (
+	// answeredInterval and answeredBurst limit the messages of a connection that are answered without an endpoint, such
+	// as health checks and refusals: so many at once, then one in each interval. Further ones wait unread, so that a
+	// client that sends without pause takes no time from others.
+	answeredInterval = 20 * time.Millisecond
+	answeredBurst    = 20
+	// lingerTimeout and maxLingerBytes limit what is read after the last response on a connection. A close over unread
+	// bytes would reset the connection, perhaps before the client has read the response.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 32 << 10
+	// continueResponse asks a client for the body that it holds back.
+	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+	continueTimeout  = 100 * time.Millisecond
+)
+
+// work is one message of a client that is to be answered.
+type work struct {
+	head    *requestHead
+	kind    workKind
+	request sidecar.Request     // if kind is forwardRequest
+	memory  *budget.Reservation // holds the memory of the request's body
+	err     *RequestError       // if kind is rejectMessage
+}
+
+// workKind says how a message is answered.
+type workKind int
+
+const (
+	forwardRequest workKind = iota // by the event loop
+	checkHealth                    // with the sidecar's health
+	rejectMessage                  // with an error, after which the connection ends
+)
+
+// process processes all messages that are complete. A request is answered in a goroutine of its own, which goes on with
+// the messages after it. The caller holds mu, which process releases while it answers.
+func (c *conn) process() {
+	c.processing = true
+	w := c.nextWork()
+	for w != nil && w.kind != forwardRequest {
+		c.mu.Unlock()
+		c.answer(w)
+		c.mu.Lock()
+		w = c.nextWork()
+	}
+	if w == nil {
+		c.finishProcessing()
+		return
+	}
+	c.inFlight = true
+	go c.serveRequests(w)
+}
+
+// serveRequests answers a request and the messages that have arrived after it.
+func (c *conn) serveRequests(w *work) {
+	for w != nil {
+		c.answer(w)
+		c.mu.Lock()
+		if w = c.nextWork(); w == nil {
+			c.finishProcessing()
+		}
+		c.inFlight = w != nil && w.kind == forwardRequest
+		c.continued.Broadcast()
+		c.mu.Unlock()
+	}
+}
+
+// finishProcessing takes note that the client has to send more before anything can be done. The caller holds mu.
+func (c *conn) finishProcessing() {
+	c.processing, c.inFlight = false, false
+	c.idleAt = time.Now()
+	if c.gone || c.ending {
+		return
+	}
+	switch unfinished := !c.parser.empty() || c.pending != nil; {
+	case !unfinished:
+		c.dropBuffer()
+	case drainMode(c.server.drainMode.Load()) == drainUnfinished:
+		c.reject(errShutdown)
+	default:
+		c.unfinishedSince.CompareAndSwap(0, c.idleAt.UnixNano())
+	}
+	c.SetReadDeadline(c.readDeadline())
+}
+
+// nextWork returns the next message that can be answered, or nil if there is none. The caller holds mu.
+func (c *conn) nextWork() *work {
+	switch {
+	case c.gone || c.ending:
+		return nil
+	case c.rejection != nil:
+		err := &RequestError{Status: http.StatusBadRequest, Err: c.rejection}
+		if !errors.Is(c.rejection, errTimeout) {
+			err.Status = http.StatusServiceUnavailable
+		}
+		return &work{kind: rejectMessage, err: err}
+	}
+	started := time.Now()
+	defer func() { c.server.stats.parse.add(time.Since(started)) }()
+	if c.pending == nil {
+		if w := c.parseHead(started); w != nil || c.pending == nil {
+			return w
+		}
+	}
+	return c.parseBody()
+}
+
+// parseHead parses the next head. It returns what can be answered at once, and otherwise sets c.pending if the head has
+// arrived whole. The caller holds mu.
+func (c *conn) parseHead(now time.Time) *work {
+	head, err := c.parser.readHead()
+	if err != nil {
+		return &work{kind: rejectMessage, err: err}
+	}
+	if head == nil {
+		return nil
+	}
+	w := &work{head: head}
+	if isHealthCheck(head) {
+		w.kind = checkHealth
+		return w
+	}
+	if w.request, err = c.server.parseRequest(head); err != nil {
+		w.kind, w.err = rejectMessage, err
+		return w
+	}
+	c.pending, c.bodyAt = w, now
+	if head.expectsContinue() && c.parser.empty() {
+		c.SetWriteDeadline(now.Add(continueTimeout))
+		io.WriteString(c, continueResponse)
+	}
+	return nil
+}
+
+// parseBody returns the pending request if its body has arrived whole. The caller holds mu.
+func (c *conn) parseBody() *work {
+	body, complete, err := c.parser.readBody()
+	w := c.pending
+	if err != nil {
+		w.kind, w.err = rejectMessage, err
+		return w
+	}
+	if !complete {
+		return nil
+	}
+	c.pending = nil
+	c.unfinishedSince.Store(0)
+	w.request.Forwarded.Body = body
+	w.request.ArrivedAt = c.server.loop.Clock().At(c.arrivals.take(len(c.parser.buffer)))
+	w.memory = c.takeMemory(body)
+	return w
+}
+
+// takeMemory moves the memory of a body, which was the parser's buffer, to its request. The caller holds mu.
+func (c *conn) takeMemory(body []byte) *budget.Reservation {
+	if body == nil {
+		return nil
+	}
+	rest := int64(cap(c.parser.buffer))
+	held := c.reserved - rest
+	c.reserved = rest
+	return c.server.memory.Move(budget.Unfinished, budget.Requests, held)
+}
+
+// answer answers a message.
+func (c *conn) answer(w *work) {
+	switch w.kind {
+	case forwardRequest:
+		c.serveRequest(w)
+	case checkHealth:
+		c.server.stats.healthChecks.Add(1)
+		r := healthResponse(c.server.healthy())
+		r.close = w.head.hasBody()
+		c.respond(w, r)
+		c.pause(c.answered.Take(time.Now()))
+	case rejectMessage:
+		c.rejectMessage(w)
+	}
+}
+
+// serveRequest hands a request to the event loop and writes its response. It refuses the request if there is no memory
+// to serve it.
+func (c *conn) serveRequest(w *work) {
+	if !c.server.reserve(budget.Requests, requestCost) {
+		w.memory.Release()
+		c.server.stats.refused.Add(1)
+		c.respond(w, errorResponse(http.StatusServiceUnavailable, errNoMemory))
+		c.pause(c.answered.Take(time.Now()))
+		return
+	}
+	defer c.server.memory.Release(budget.Requests, requestCost)
+	response, err := c.server.loop.Do(c.ctx, w.request)
+	w.request.Forwarded.Body = nil
+	w.memory.Release()
+	defer response.Release()
+	switch {
+	case errors.Is(err, sidecar.ErrNotAccepted), errors.Is(err, sidecar.ErrMayHaveRun):
+		c.respond(w, errorResponse(http.StatusConflict, err))
+	case err != nil: // the client or the event loop has gone
+		c.close()
+		return
+	default:
+		c.respond(w, finalResponse(response))
+	}
+	if !response.Attempted {
+		c.pause(c.answered.Take(time.Now()))
+	}
+}
+
+// rejectMessage answers a message that is no request, or does not arrive whole, and ends the connection. While there
+// are many such messages, the answer waits, since the clients often connect anew at once.
+func (c *conn) rejectMessage(w *work) {
+	c.mu.Lock()
+	c.dropBuffer()
+	c.mu.Unlock()
+	c.server.stats.countRejection(w.err)
+	c.server.hold(c)
+	r := errorResponse(w.err.Status, w.err)
+	r.close = true
+	c.respond(w, r)
+}
+
+// pause lets the connection rest. It ends early when the client disconnects or the server drains.
+func (c *conn) pause(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	c.server.stats.pauses.Add(1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	case <-c.server.drainStarted:
+	}
+}
+
+// respond writes the response to a message. The connection ends after it if the response or the client says so, or if
+// the server drains and nothing else of the client has been read.
+func (c *conn) respond(w *work, r response) {
+	c.mu.Lock()
+	drains := c.server.draining() && c.parser.empty()
+	r.close = r.close || drains || w.head != nil && w.head.wantsClose()
+	r.omitBody = w.head != nil && w.head.method == http.MethodHead
+	c.reused = true
+	c.inFlight = false // from now on, what the client sends waits unread
+	c.ending = r.close
+	c.mu.Unlock()
+	c.SetWriteDeadline(time.Now().Add(c.server.timeouts.write))
+	if err := r.write(c); err != nil {
+		c.close()
+		return
+	}
+	if r.close {
+		c.linger()
+		c.close()
+	}
+}
+
+// linger ends the sending direction and waits until the client has read the response and closed the connection.
+func (c *conn) linger() {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	t.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	n, _ := io.CopyN(io.Discard, onlyReader{t}, maxLingerBytes)
+	if n == maxLingerBytes {
+		c.pause(lingerTimeout)
+	}
+}
+
+// onlyReader hides the other methods of a connection, so that io.CopyN uses one small buffer.
+type onlyReader struct{ io.Reader }
--- a/internal/downstream/read_ahead_test.go
+++ b/internal/downstream/read_ahead_test.go
@@ -9,13 +9,12 @@
 	"sync/atomic"
 	"testing"
 
-	"pebblelift/internal/config"
+	"pebblelift/internal/budget"
 	"pebblelift/internal/nettest"
 	"pebblelift/internal/upstream"
 )
 
-// A client's disconnect is noticed even if the client has already sent bytes of a further request. net/http by itself
-// stops watching for a disconnect once it has received such a byte.
+// A client's disconnect is noticed even if the client has already sent bytes of a further request.
 func TestClientCancelAfterPipelinedRequest(t *testing.T) {
 	for name, extraData := range map[string]string{
 		"one byte":        "G",
@@ -98,8 +97,8 @@
 				stats := h.stats()
 				return stats.ClientsCanceled == 1 && stats.OpenRequests == 0
 			})
-			nettest.Eventually(t, "the read-ahead budget is released", func() bool {
-				return h.server.listener.Load().readAheadBudget.Load() == config.DefaultReadAheadBytes
+			nettest.Eventually(t, "the memory is released", func() bool {
+				return h.server.memory.Usage().Used == [budget.PartCount]int64{}
 			})
 			if n := int(stub.Requests.Load()); n != test.responses+1 {
 				t.Errorf("%d requests were forwarded, want %d", n, test.responses+1)
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -2,13 +2,10 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"slices"
+	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"pebblelift/balance"
 	"pebblelift/internal/headers"
@@ -42,19 +39,28 @@
 	return &RequestError{Status: http.StatusRequestEntityTooLarge, Err: err}
 }
 
-// The reasons why a request is invalid, which clients read in the response.
+// The reasons why a message is not served, which clients read in the response.
 var (
-	errNoTraceID   = errors.New("no X-Trace-Id")
-	errWrongPath   = errors.New("the path does not fit the class")
-	errWrongMethod = errors.New("method and key do not fit the class")
-	errGetWithBody = errors.New("a GET with a body")
-	errLargeBody   = errors.New("body over 64 KiB")
+	errUnknownClass = errors.New("unknown class")
+	errNoTraceID    = errors.New("no X-Trace-Id")
+	errWrongPath    = errors.New("the path does not fit the class")
+	errWrongMethod  = errors.New("method and key do not fit the class")
+	errGetWithBody  = errors.New("a GET with a body")
+	errLargeBody    = errors.New("body over 64 KiB")
+	errTimeout      = errors.New("request not complete in time")
+	errNoMemory     = errors.New("too many requests at once")
+	errShutdown     = errors.New("shutting down")
+	errRefused      = errors.New("refused")
+	errFailed       = errors.New("failed")
 )
 
-// singleFields are the header fields that must not be repeated in a request, because the sidecar and the endpoints
-// might use different values of a repeated field.
-var singleFields = []string{
-	headers.TraceID, headers.Class, headers.Tenant, headers.Timeout, headers.IdempotencyKey,
+// healthPath is the path at which the platform asks whether the sidecar is healthy.
+const healthPath = "/_health"
+
+// isHealthCheck reports whether a message asks for the sidecar's health.
+func isHealthCheck(head *requestHead) bool {
+	path, _, _ := strings.Cut(head.path(), "?")
+	return path == healthPath
 }
 
 // forwardedFields are the header fields that are forwarded to endpoints unchanged.
@@ -62,32 +68,23 @@
 	headers.TraceID, headers.IdempotencyKey, headers.Class, headers.Tenant, "Content-Type",
 }
 
-// parseRequest validates a request and reads its header and body. It does not set sidecar.Request.ArrivedAt.
-func (s *Server) parseRequest(w http.ResponseWriter, req *http.Request) (sidecar.Request, *RequestError) {
-	var parsed sidecar.Request
-	class, known := s.classes[req.Header.Get(headers.Class)]
+// parseRequest validates the head of a request. It sets all of the request except the body and the time of arrival.
+func (s *Server) parseRequest(head *requestHead) (parsed sidecar.Request, err *RequestError) {
+	class, known := s.classes[head.get(headers.Class)]
 	if !known {
-		return parsed, badRequest(fmt.Errorf("unknown class %q", req.Header.Get(headers.Class)))
-	}
-	for _, name := range singleFields {
-		if len(req.Header[http.CanonicalHeaderKey(name)]) > 1 {
-			return parsed, badRequest(fmt.Errorf("%s more than once", name))
-		}
+		return parsed, badRequest(errUnknownClass)
 	}
 	parsed.Class = class
-	parsed.TraceID = req.Header.Get(headers.TraceID)
-	parsed.Forwarded.Method, parsed.Forwarded.Target = req.Method, req.RequestURI
-	if err := s.validateForClass(req, class); err != nil {
+	parsed.TraceID = head.get(headers.TraceID)
+	parsed.Forwarded.Method, parsed.Forwarded.Target = head.method, head.target
+	if err := s.validateForClass(head, class); err != nil {
 		return parsed, badRequest(err)
 	}
-	if err := s.parseFields(req, &parsed); err != nil {
+	if err := s.parseFields(head, &parsed); err != nil {
 		return parsed, badRequest(err)
 	}
-	if err := readBody(w, req, &parsed); err != nil {
-		return parsed, err
-	}
 	for _, name := range forwardedFields {
-		if value := req.Header.Get(name); value != "" {
+		if value := head.get(name); value != "" {
 			parsed.Forwarded.Header = append(parsed.Forwarded.Header, upstream.HeaderField{Name: name, Value: value})
 		}
 	}
@@ -96,62 +93,76 @@
 
 // validateForClass checks that a request has a trace ID and that its path, method and idempotency key are those of its
 // class. A request of a class with idempotency keys could not be retried without its key.
-func (s *Server) validateForClass(req *http.Request, class int) error {
+func (s *Server) validateForClass(head *requestHead, class int) error {
 	idempotency := s.loop.Config().Settings.Balancer.Classes[class].Idempotency
-	hasKey := req.Header.Get(headers.IdempotencyKey) != ""
-	firstSegment, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	hasKey := head.get(headers.IdempotencyKey) != ""
 	method := http.MethodPost
 	if idempotency == balance.Idempotent {
 		method = http.MethodGet
 	}
+	if _, err := url.ParseRequestURI(head.target); err != nil {
+		return errWrongPath
+	}
 	switch {
-	case req.Header.Get(headers.TraceID) == "":
+	case head.get(headers.TraceID) == "":
 		return errNoTraceID
-	case !strings.HasPrefix(req.RequestURI, "/"), firstSegment != req.Header.Get(headers.Class):
+	case !strings.HasPrefix(head.target, "/"), firstSegment(head.target) != head.get(headers.Class):
 		return errWrongPath
-	case req.Method != method, (idempotency == balance.IdempotentWithKey) != hasKey:
+	case head.method != method, (idempotency == balance.IdempotentWithKey) != hasKey:
 		return errWrongMethod
-	case req.Method == http.MethodGet && req.ContentLength != 0: // an endpoint may take the body for the next request
+	case head.method == http.MethodGet && head.hasBody(): // an endpoint may take the body for the next request
 		return errGetWithBody
 	}
 	return nil
 }
 
+// firstSegment returns the first segment of the path of a target, without percent encoding.
+func firstSegment(target string) string {
+	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
+	segment, _, _ := strings.Cut(path, "/")
+	decoded, err := url.PathUnescape(segment)
+	if err != nil {
+		return ""
+	}
+	return decoded
+}
+
 // parseFields reads the timeout, tenant, retry mark, work hint and affinity key of a request. A timeout is required: a
 // default would have to be the longest possible timeout, and the balancer would compare the timeouts of all later
 // retries with that default.
-func (s *Server) parseFields(req *http.Request, parsed *sidecar.Request) (err error) {
-	if parsed.Timeout, err = headers.ParseTimeout(req.Header.Get(headers.Timeout)); err != nil {
+func (s *Server) parseFields(head *requestHead, parsed *sidecar.Request) (err error) {
+	if parsed.Timeout, err = headers.ParseTimeout(head.get(headers.Timeout)); err != nil {
 		return err
 	}
-	parsed.Tenant = slices.Index(s.loop.Config().Settings.Tenants, req.Header.Get(headers.Tenant)) // -1: none
-	parsed.IsRetry = req.Header.Get(headers.Retry) == "1"
-	if micros, err := strconv.ParseFloat(req.Header.Get(headers.WorkHint), 64); err == nil && micros > 0 {
+	tenant, known := s.tenants[head.get(headers.Tenant)]
+	if !known {
+		tenant = -1
+	}
+	parsed.Tenant = tenant
+	parsed.IsRetry = head.get(headers.Retry) == "1"
+	if micros, err := strconv.ParseFloat(head.get(headers.WorkHint), 64); err == nil && micros > 0 {
 		parsed.WorkHint = micros / 1000
 	}
-	if object := req.URL.Query().Get(affinityParameter); object != "" {
+	if object := queryValue(head.target, affinityParameter); object != "" {
 		parsed.AffinityKey = stablehash.String(object)
 	}
 	return nil
 }
 
-// readBody reads the body of a request, which is limited to upstream.MaxBodySize bytes.
-func readBody(w http.ResponseWriter, req *http.Request, parsed *sidecar.Request) *RequestError {
-	if req.ContentLength > upstream.MaxBodySize {
-		return tooLarge(errLargeBody)
-	}
-	if req.ContentLength == 0 {
-		return nil
-	}
-	var err error
-	parsed.Forwarded.Body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, upstream.MaxBodySize))
-	var sizeError *http.MaxBytesError
-	switch {
-	case errors.As(err, &sizeError):
-		return tooLarge(err)
-	case err != nil:
-		return badRequest(err)
+// queryValue returns the first value of a query parameter of a target, or the empty string. It looks for that parameter
+// alone, as a client may send very many others.
+func queryValue(target, name string) string {
+	_, query, _ := strings.Cut(target, "?")
+	for query != "" {
+		var parameter string
+		parameter, query, _ = strings.Cut(query, "&")
+		key, value, _ := strings.Cut(parameter, "=")
+		if key != name {
+			continue
+		}
+		if decoded, err := url.QueryUnescape(value); err == nil {
+			return decoded
+		}
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) // an expired deadline would look like a disconnect
-	return nil
+	return ""
 }
--- a/internal/downstream/request_test.go
+++ b/internal/downstream/request_test.go
@@ -75,7 +75,7 @@
 	})
 	const bodyTimeout = 500 * time.Millisecond
 	h := newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
-		s.bodyTimeout = bodyTimeout
+		s.timeouts.body = bodyTimeout
 	})
 	time.AfterFunc(bodyTimeout+100*time.Millisecond, func() { close(release) })
 	request := strings.Replace(nonIdempotentRequest("t"),
--- a/internal/downstream/handler_test.go
+++ b/internal/downstream/response_test.go
@@ -1,10 +1,11 @@
 package downstream
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"pebblelift/balance"
@@ -91,11 +92,18 @@
 		{"failed", sidecar.Response{Result: balance.ServerError}, 502, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			w := httptest.NewRecorder()
-			writeResponse(w, test.response)
-			if w.Code != test.status || w.Header().Get("Retry-After") != test.retryAfter {
+			var out bytes.Buffer
+			r := finalResponse(test.response)
+			if err := r.write(&out); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(&out), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != test.status || resp.Header.Get("Retry-After") != test.retryAfter {
 				t.Errorf("status %d, Retry-After %q, want %d and %q",
-					w.Code, w.Header().Get("Retry-After"), test.status, test.retryAfter)
+					resp.StatusCode, resp.Header.Get("Retry-After"), test.status, test.retryAfter)
 			}
 		})
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -1,17 +1,16 @@
-// Package downstream is the HTTP server to which the application sends its requests. It limits the number of
-// connections, validates requests, rejects attempts at request smuggling and shuts down gracefully. Valid requests go
-// to the event loop of package sidecar, which makes all other decisions about them.
+// Package downstream is the HTTP server to which the application sends its requests. Anyone may connect, so it bounds
+// what a client can make the process hold and do, whatever it sends: see conn, parser and package budget. Valid requests
+// go to the event loop of package sidecar, which makes all other decisions about them.
 package downstream
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
+	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
 	"pebblelift/internal/sidecar"
 )
@@ -22,104 +21,191 @@
 	acceptAfterShutdown = 600 * time.Millisecond
 	// maxDrainTimeout is the upper limit of the drain timeout, which is otherwise the longest deadline of any class.
 	// The drain timeout is how long requests may still run after the listener is closed. SIGKILL follows SIGTERM after
-	// at least 0.7 s plus the drain timeout, and the process ends shortly before.
+	// at least 0.7 s plus the drain timeout.
 	maxDrainTimeout = 3 * time.Second
 	// shutdownMargin is how long before the end of the drain timeout all accepted requests are answered.
 	shutdownMargin = 100 * time.Millisecond
+	// endTimeout is how long after the drain timeout the process waits for clients to read their last responses.
+	endTimeout = 2 * time.Second
 
-	// The following timeouts exist because anyone may connect, and an unused connection occupies a slot that a client
-	// may need. A connection without a request may be closed after 2 s. A connection with no request or only a part of
-	// one must be answered or closed within 3 s.
-
-	// headerTimeout limits the time to read the head of a request. Together with bodyTimeout it must be below 3 s.
-	headerTimeout = 2200 * time.Millisecond
-	// bodyTimeout limits the time to read the body of a request, after its head was read.
-	bodyTimeout = 600 * time.Millisecond
-	// idleTimeout is how long a connection may wait for its next request before it is closed. It must be at least 2 s
-	// and below 3 s.
-	idleTimeout = 2500 * time.Millisecond
-	// writeTimeout limits the time to serve a request and write its response, in addition to the longest deadline of
-	// any class.
-	writeTimeout = 10 * time.Second
+	// requestCost is the memory in bytes that it takes to serve a request besides its body and its response: the
+	// goroutines and the connection of its attempt, and its entries in tables.
+	requestCost = 12 << 10
+	// unsoundInterval and unsoundBurst limit the responses to messages that are no requests, on all connections
+	// together: so many at once, then one in each interval. Further ones wait for up to maxHold, because their clients
+	// often connect anew as soon as they are answered.
+	unsoundInterval = 5 * time.Millisecond
+	unsoundBurst    = 100
+	maxHold         = 500 * time.Millisecond
+)
+
+// timeouts bound the waits for a client.
+type timeouts struct {
+	head  time.Duration // for the head of a request, from its first byte or, for the first one, from the connect
+	body  time.Duration // for the body of a request, from the end of its head
+	idle  time.Duration // between two requests
+	write time.Duration // for writing a response
+}
+
+// defaultTimeouts exist because anyone may connect, and an unused connection occupies a slot that a client may need. A
+// connection without a request may be closed after 2 s. A connection with no request or only a part of one must be
+// answered or closed within 3 s.
+var defaultTimeouts = timeouts{
+	head:  2200 * time.Millisecond,
+	body:  600 * time.Millisecond,
+	idle:  2500 * time.Millisecond,
+	write: 5 * time.Second,
+}
+
+// drainMode says which connections are to be ended.
+type drainMode int32
+
+const (
+	drainNone       drainMode = iota // none
+	drainReused                      // idle ones that have served a request; their clients reconnect
+	drainAll                         // all idle ones
+	drainUnfinished                  // also those with a message that has not arrived whole, which is rejected
 )
 
 // Server is an HTTP server that passes the requests of clients to an event loop, which serves them.
 type Server struct {
 	loop            *sidecar.Loop
+	log             *slog.Logger
 	classes         map[string]int // positions of the classes in the settings, by name
-	httpServer      *http.Server
-	longestDeadline time.Duration // the longest deadline of any class
-	drainTimeout    time.Duration // how long requests may still run after the listener is closed
-	bodyTimeout     time.Duration // limit on the time to read a request's body
-	draining        atomic.Bool
-	listener        atomic.Pointer[limitedListener]      // nil before Serve is called
+	tenants         map[string]int // positions of the tenants in the settings, by name
+	longestDeadline time.Duration  // the longest deadline of any class
+	drainTimeout    time.Duration  // how long requests may still run after the listener is closed
+	timeouts        timeouts
+	memory          *budget.Memory
+	unsound         budget.TokenBucket // limits the responses to messages that are no requests
+	table           *connTable
+	stats           serverStats
+	drainMode       atomic.Int32                         // the current drainMode
+	drainStarted    chan struct{}                        // closed when the server begins to drain
 	after           func(time.Duration) <-chan time.Time // time.After; replaced by tests
 }
 
-// NewServer returns a server that hands requests to loop and logs connection errors to log.
+// NewServer returns a server that hands requests to loop and logs its troubles to log.
 func NewServer(loop *sidecar.Loop, log *slog.Logger) *Server {
-	s := &Server{loop: loop, classes: map[string]int{}, after: time.After, bodyTimeout: bodyTimeout}
+	limits := loop.Config().Limits
+	s := &Server{
+		loop:         loop,
+		log:          log,
+		classes:      map[string]int{},
+		tenants:      map[string]int{},
+		timeouts:     defaultTimeouts,
+		memory:       loop.Memory(),
+		unsound:      budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
+		table:        newConnTable(limits.DownstreamConnections()),
+		drainStarted: make(chan struct{}),
+		after:        time.After,
+	}
 	settings := &loop.Config().Settings
 	for i, name := range settings.Classes {
 		s.classes[name] = i
 		s.longestDeadline = max(s.longestDeadline, clock.Duration(settings.Balancer.Classes[i].Deadline))
 	}
-	s.drainTimeout = min(s.longestDeadline, maxDrainTimeout)
-	s.httpServer = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		WriteTimeout:      writeTimeout + s.longestDeadline,
-		MaxHeaderBytes:    maxHeadSize,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnContext:       withClientConn,
-		ConnState:         finishRequestWhenIdle,
-		// net/http would answer "OPTIONS *" without calling ServeHTTP, and so without the check of the length.
-		DisableGeneralOptionsHandler: true,
+	for i, name := range settings.Tenants {
+		s.tenants[name] = i
 	}
+	s.drainTimeout = min(s.longestDeadline, maxDrainTimeout)
 	return s
 }
 
 // Serve accepts connections of ln and serves their requests until shutdownCtx ends. It then shuts down gracefully and
-// returns when all accepted requests are answered, or after the drain timeout.
+// returns when all accepted requests are answered.
 func (s *Server) Serve(shutdownCtx context.Context, ln net.Listener) error {
-	limits := s.loop.Config().Limits
-	listener := newLimitedListener(ln, limits.DownstreamConnections(), limits.ReadAheadBytes())
-	s.listener.Store(listener)
-	s.loop.SetConnectionStats(listener.stats)
-	serveError := make(chan error, 1)
-	go func() { serveError <- s.httpServer.Serve(listener) }()
-	select {
-	case err := <-serveError:
-		return fmt.Errorf("serve: %w", err)
-	case <-shutdownCtx.Done():
-	}
-	return s.drain(listener, serveError)
+	s.loop.SetServerStats(s.currentStats)
+	acceptEnded := make(chan struct{})
+	go func() {
+		defer close(acceptEnded)
+		s.acceptAll(ln)
+	}()
+	<-shutdownCtx.Done()
+	s.drain(ln, acceptEnded)
+	return nil
 }
 
 // drain shuts the server down gracefully. First it closes idle connections while the listener still accepts new ones,
-// so that clients reconnect. Then it closes the listener, and finally the remaining connections as their requests
-// end. It does not use http.Server.Shutdown, which drops a request whose last byte arrives after the call.
-func (s *Server) drain(listener *limitedListener, serveError <-chan error) error {
-	s.draining.Store(true)
+// so that clients reconnect. Then it closes the listener, and the remaining connections as their requests end. Clients
+// send on open connections until SIGKILL, so a connection is closed only with nothing of a request read, or after a
+// response.
+func (s *Server) drain(ln net.Listener, acceptEnded <-chan struct{}) {
+	close(s.drainStarted)
 	s.loop.Shutdown(acceptAfterShutdown + s.drainTimeout - shutdownMargin)
-	listener.drain(drainReused)
+	s.setDrainMode(drainReused)
+	<-s.after(acceptAfterShutdown)
+	ln.Close()
+	drainTimeout := time.NewTimer(s.drainTimeout)
+	defer drainTimeout.Stop()
+	<-acceptEnded // from now on all accepted connections are in the table
+	s.setDrainMode(drainAll)
+	select {
+	case <-s.table.empty():
+		return
+	case <-drainTimeout.C:
+	}
+	s.setDrainMode(drainUnfinished)
 	select {
-	case err := <-serveError:
-		return fmt.Errorf("serve: %w", err)
-	case <-s.after(acceptAfterShutdown):
+	case <-s.table.empty():
+	case <-time.After(endTimeout):
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.drainTimeout)
-	defer cancel()
-	listener.Close()
-	select { // once http.Server.Serve has returned, all accepted connections are tracked
-	case <-serveError:
-	case <-ctx.Done():
+}
+
+// setDrainMode sets the drain mode and applies it to the open connections.
+func (s *Server) setDrainMode(mode drainMode) {
+	s.drainMode.Store(int32(mode))
+	for _, c := range s.table.all() {
+		c.drain()
 	}
-	listener.drain(drainAll)
+}
+
+// draining reports whether the server drains.
+func (s *Server) draining() bool {
 	select {
-	case <-listener.drained:
-	case <-ctx.Done():
+	case <-s.drainStarted:
+		return true
+	default:
+		return false
+	}
+}
+
+// healthy reports whether requests can be served and the server does not drain.
+func (s *Server) healthy() bool { return s.loop.Ready() && !s.draining() }
+
+// reserve reserves memory. If there is no room, the messages that have not arrived whole for the longest time are
+// rejected. It reports whether the memory is reserved.
+func (s *Server) reserve(part budget.Part, bytes int64) bool {
+	for !s.memory.TryReserve(part, bytes) {
+		if !s.table.evictLongest() {
+			return false
+		}
+		s.stats.evicted.Add(1)
 	}
-	return s.httpServer.Close() // any connection left at the timeout has no request
+	return true
+}
+
+// hold lets a connection wait with the response to a message that is no request while there are many such messages. A
+// new connection that needs its slot ends the wait.
+func (s *Server) hold(c *conn) {
+	wait := s.unsound.TakeWithin(time.Now(), maxHold)
+	if wait <= 0 {
+		return
+	}
+	s.stats.pauses.Add(1)
+	s.table.addHeld(c)
+	defer s.table.removeHeld(c)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.cut:
+	case <-s.drainStarted:
+	}
+}
+
+// release removes a closed connection from the table.
+func (s *Server) release(c *conn) {
+	s.table.remove(c)
+	s.memory.Release(budget.Connections, connectionCost)
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -19,14 +19,15 @@
 // A client that sends nothing, only a part of a request, or no further request gets an error or a close. The timeouts
 // are short enough for the platform, and the connection's slot is free again.
 func TestIdleAndPartialClientsAreClosed(t *testing.T) {
-	if headerTimeout < 2*time.Second || headerTimeout+bodyTimeout >= 3*time.Second || idleTimeout < 2*time.Second {
-		t.Errorf("header timeout %v, body timeout %v, idle timeout %v", headerTimeout, bodyTimeout, idleTimeout)
+	limits := defaultTimeouts
+	if limits.head < 2*time.Second || limits.head+limits.body >= 3*time.Second || limits.idle < 2*time.Second {
+		t.Errorf("timeouts %+v", limits)
 	}
 	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
 	h := newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
-		s.httpServer.ReadHeaderTimeout = 50 * time.Millisecond
-		s.httpServer.IdleTimeout = 50 * time.Millisecond
-		s.bodyTimeout = 50 * time.Millisecond
+		s.timeouts.head = 50 * time.Millisecond
+		s.timeouts.idle = 50 * time.Millisecond
+		s.timeouts.body = 50 * time.Millisecond
 	})
 	noBody := nonIdempotentRequest("t")
 	head := strings.Replace(noBody, "Content-Length: 0", "Content-Length: 5", 1)
@@ -61,7 +62,7 @@
 			t.Errorf("%s: read %q and error %v, want the end of the connection", name, rest, err)
 		}
 	}
-	nettest.Eventually(t, "all slots are free", func() bool { return len(h.server.listener.Load().slots) == 0 })
+	nettest.Eventually(t, "all slots are free", func() bool { return h.server.table.size() == 0 })
 }
 
 // Pipelined requests that arrived together are all answered, even if the shutdown begins before the last response.
@@ -76,7 +77,7 @@
 	h.readResponse(reader)
 	h.shutDown()
 	nettest.Eventually(t, "idle connections are draining", func() bool {
-		return h.server.listener.Load().drainMode.Load() != 0
+		return h.server.drainMode.Load() != 0
 	})
 	close(stub.release)
 	if resp, body := h.readResponse(reader); resp.StatusCode != 200 || body != "hi" {
@@ -124,23 +125,17 @@
 }
 
 // A request of which a part was read is answered even if the rest arrives after the listener has closed, on a new
-// connection as well as on a reused one. http.Server.Shutdown would close both without a response. A connection on
-// which nothing was read may be closed.
+// connection as well as on a reused one. A connection on which nothing was read may be closed.
 func TestShutdownWithPartialRequests(t *testing.T) {
 	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
 	h := newHarnessWithEndpoints(t, stub.Addr)
-	var listener *limitedListener
-	nettest.Eventually(t, "the server is listening", func() bool {
-		listener = h.server.listener.Load()
-		return listener != nil
-	})
 	reusedRequest, newRequest := idempotentRequest("t"), idempotentRequest("u")
 	half := len(reusedRequest) / 2
 	reusedConn, reusedReader := h.connect()
 	io.WriteString(reusedConn, idempotentRequest("before"))
 	h.readResponse(reusedReader)
 	nettest.Eventually(t, "the reused connection is idle", func() bool {
-		heads := recordedHeads(listener)
+		heads := recordedHeads(h.server.table)
 		return len(heads) == 1 && heads[0] == ""
 	})
 	io.WriteString(reusedConn, reusedRequest[:half])
@@ -149,7 +144,7 @@
 	unusedConn, unusedReader := h.connect()
 	defer unusedConn.Close()
 	nettest.Eventually(t, "both partial requests are read", func() bool {
-		heads := recordedHeads(listener)
+		heads := recordedHeads(h.server.table)
 		return len(heads) == 3 && slices.Contains(heads, reusedRequest[:half]) &&
 			slices.Contains(heads, newRequest[:half])
 	})
--- /dev/null
+++ b/internal/downstream/stats.go
@@ -0,0 +1,61 @@
+package downstream
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"pebblelift/internal/sidecar"
+)
+
+// serverStats counts since the start of the process.
+type serverStats struct {
+	accepted, rejectedConnections        atomic.Int64
+	acceptErrors                         atomic.Int64
+	healthChecks, refused                atomic.Int64
+	invalid, tooLarge, tooSlow, noMemory atomic.Int64 // rejected messages by reason
+	evicted                              atomic.Int64 // unfinished messages rejected because others needed their memory
+	pauses                               atomic.Int64 // waits of clients that send too fast
+	parse                                durationSum  // time for reading the messages of clients
+}
+
+// durationSum is a sum of durations.
+type durationSum struct{ nanoseconds atomic.Int64 }
+
+func (s *durationSum) add(d time.Duration) { s.nanoseconds.Add(int64(d)) }
+
+func (s *durationSum) total() time.Duration { return time.Duration(s.nanoseconds.Load()) }
+
+// countRejection counts a rejected message by its reason.
+func (s *serverStats) countRejection(err *RequestError) {
+	switch {
+	case err.Err == errTimeout:
+		s.tooSlow.Add(1)
+	case err.Status == http.StatusServiceUnavailable:
+		s.noMemory.Add(1)
+	case err.Status == http.StatusBadRequest:
+		s.invalid.Add(1)
+	default:
+		s.tooLarge.Add(1)
+	}
+}
+
+// currentStats returns the counts for the status lines.
+func (s *Server) currentStats() sidecar.ServerStats {
+	stats := &s.stats
+	return sidecar.ServerStats{
+		Open:             s.table.size(),
+		Accepted:         stats.accepted.Load(),
+		Rejected:         stats.rejectedConnections.Load(),
+		AcceptErrors:     stats.acceptErrors.Load(),
+		HealthChecks:     stats.healthChecks.Load(),
+		Refused:          stats.refused.Load(),
+		InvalidMessages:  stats.invalid.Load(),
+		LargeMessages:    stats.tooLarge.Load(),
+		SlowMessages:     stats.tooSlow.Load(),
+		UnstoredMessages: stats.noMemory.Load(),
+		Evicted:          stats.evicted.Load(),
+		Pauses:           stats.pauses.Load(),
+		ParseTime:        stats.parse.total(),
+	}
+}
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -60,6 +60,12 @@
 
 // startSidecar starts a sidecar with the given pick servers and limits and waits until it is ready.
 func startSidecar(t *testing.T, servers []*pickServer, l limits) *sidecar {
+	t.Helper()
+	return startSidecarWithSettings(t, servers, l, sidecarSettings)
+}
+
+// startSidecarWithSettings is startSidecar with another settings object.
+func startSidecarWithSettings(t *testing.T, servers []*pickServer, l limits, settings string) *sidecar {
 	t.Helper()
 	var instances []string
 	for i, s := range servers {
@@ -75,7 +81,7 @@
 	listener.Close()
 	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
 		"limits": {"cores": %g, "memory_mb": %d, "sockets": %d}, "known": %s, "settings": %s}`,
-		s.addr, discovery, l.cores, l.memoryMB, l.sockets, catalog, sidecarSettings)
+		s.addr, discovery, l.cores, l.memoryMB, l.sockets, catalog, settings)
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -41,6 +41,9 @@
 	earlier := r.attempts
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := d.newAttempt(r, action, cancel)
+	if len(r.attempts) == 0 {
+		d.stats.noteFirstAttempt(a.startedAt - r.ArrivedAt)
+	}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	if a.endpoint == nil || r.closed {
@@ -108,6 +111,7 @@
 // first result of an attempt counts; later ones are dropped.
 func (d *dispatcher) finishAttempt(a *attempt, response upstream.Response) {
 	if a.ended {
+		response.Release()
 		return
 	}
 	a.ended = true
@@ -123,6 +127,8 @@
 	a.notExecuted = response.Result.NotExecuted()
 	if response.Result == balance.OK && !r.closed {
 		d.deliver(r, Response{Result: balance.OK, Upstream: response})
+	} else {
+		response.Release()
 	}
 	latency := d.clock.Now() - a.startedAt
 	d.stats.Attempts[response.Result]++
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -56,7 +56,7 @@
 		config:       l.config,
 		log:          log,
 		balancer:     balance.New(l.config.Settings.Balancer),
-		pool:         upstream.NewPool(poolOptions(l.clock, l.config)),
+		pool:         upstream.NewPool(poolOptions(l)),
 		discovery:    discovery.NewClient(l.config.Discovery),
 		requests:     map[balance.RequestID]*request{},
 		traceIDs:     map[string]bool{},
@@ -68,10 +68,12 @@
 	}
 }
 
-// poolOptions returns the options of the upstream connection pool for a configuration.
-func poolOptions(clk clock.Clock, c *config.Config) upstream.Options {
+// poolOptions returns the options of the upstream connection pool of a loop.
+func poolOptions(l *Loop) upstream.Options {
+	c := l.config
 	return upstream.Options{
-		Clock:           clk,
+		Clock:           l.clock,
+		Memory:          l.memory,
 		MaxConnections:  c.Limits.UpstreamConnections(),
 		ConnectTimeout:  clock.Duration(c.Settings.Balancer.ConnectTimeout),
 		ConnIdleTimeout: clock.Duration(c.Settings.ConnIdleTimeout),
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pebblelift/balance"
+	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
 	"pebblelift/internal/config"
 	"pebblelift/internal/gossip"
@@ -35,9 +36,10 @@
 	ended   chan struct{}          // closed when the loop takes no more functions from the queue
 	workers sync.WaitGroup         // goroutines that add their results to the queue
 	ready   atomic.Bool            // whether the sidecar is ready for requests
+	memory  *budget.Memory         // what may be held for clients and endpoints
 
-	// connectionStats returns the counts of clients' connections; nil until SetConnectionStats is called.
-	connectionStats atomic.Pointer[func() ConnectionStats]
+	// serverStats returns the counts of the server for clients; nil until SetServerStats is called.
+	serverStats atomic.Pointer[func() ServerStats]
 
 	dispatcher *dispatcher       // used by the goroutine of Run only
 	gossip     *gossip.Transport // set before Run; nil if gossip is off
@@ -50,6 +52,7 @@
 		config: c,
 		queue:  make(chan func(*dispatcher), queueSize),
 		ended:  make(chan struct{}),
+		memory: budget.NewMemory(c.Limits.BufferBytes()),
 	}
 	l.dispatcher = newDispatcher(l, log)
 	return l
@@ -75,6 +78,9 @@
 // Config returns the configuration that the loop was created with. The configuration does not change.
 func (l *Loop) Config() *config.Config { return l.config }
 
+// Memory returns the budget of what may be held for clients and endpoints.
+func (l *Loop) Memory() *budget.Memory { return l.memory }
+
 // Run runs the loop until ctx ends, and returns when all goroutines that the loop started have ended.
 func (l *Loop) Run(ctx context.Context) {
 	defer l.workers.Wait()
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -55,8 +55,12 @@
 	Result     balance.Result
 	Upstream   upstream.Response // the endpoint's response, if Result is balance.OK
 	RetryAfter float64           // ms after which the client should retry; 0: no Retry-After
+	Attempted  bool              // whether an attempt was made
 }
 
+// Release releases the memory that the response holds. It must be called once the response is no longer used.
+func (r *Response) Release() { r.Upstream.Release() }
+
 // request is a client's request in the request table. It stays there until it is closed and its last attempt has ended.
 type request struct {
 	Request
@@ -76,9 +80,9 @@
 	err     error
 }
 
-// Do serves a request and returns its response. It returns ErrNotAccepted if the trace ID is in use or the balancer
-// returns an error for the request, ErrMayHaveRun if the request may not run again, the context's error if the client
-// disconnects, and ErrStopped if the loop ends.
+// Do serves a request and returns its response, which the caller must release. It returns ErrNotAccepted if the trace
+// ID is in use or the balancer returns an error for the request, ErrMayHaveRun if the request may not run again, the
+// context's error if the client disconnects, and ErrStopped if the loop ends.
 func (l *Loop) Do(ctx context.Context, in Request) (Response, error) {
 	responses := make(chan Response, 1)
 	accepted := make(chan acceptance, 1)
@@ -103,13 +107,25 @@
 	case response := <-responses:
 		return response, nil
 	case <-ctx.Done():
-		l.enqueue(func(d *dispatcher) { d.handleClientCancel(a.request) })
+		l.enqueue(func(d *dispatcher) {
+			d.handleClientCancel(a.request)
+			releaseUndelivered(responses)
+		})
 		return Response{}, ctx.Err()
 	case <-l.ended:
 		return Response{}, ErrStopped
 	}
 }
 
+// releaseUndelivered releases a response that nobody waits for any more.
+func releaseUndelivered(responses <-chan Response) {
+	select {
+	case response := <-responses:
+		response.Release()
+	default:
+	}
+}
+
 // acceptRequest adds a request to the request table and passes it to the balancer. It returns ErrNotAccepted if the
 // trace ID is in use or the balancer returns an error, and ErrMayHaveRun if the request may not run again.
 func (d *dispatcher) acceptRequest(in Request, responses chan Response) (*request, error) {
@@ -163,6 +179,7 @@
 // deliver closes a request and sends its response to Loop.Do.
 func (d *dispatcher) deliver(r *request, response Response) {
 	r.closed = true
+	response.Attempted = len(r.attempts) > 0
 	d.stats.Responses[response.Result]++
 	r.response <- response
 }
--- a/internal/sidecar/request_test.go
+++ b/internal/sidecar/request_test.go
@@ -35,7 +35,7 @@
 	dialing, connect := make(chan struct{}, 1), make(chan struct{})
 	settings := strings.Replace(nettest.Settings, `"cancel": true`, `"cancel": false`, 1)
 	delayConnect := func(l *Loop) {
-		options := poolOptions(l.clock, l.config)
+		options := poolOptions(l)
 		options.Control = func(string, string, syscall.RawConn) error {
 			dialing <- struct{}{}
 			<-connect
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"syscall"
 	"time"
 
 	"pebblelift/balance"
+	"pebblelift/internal/budget"
 	"pebblelift/internal/transient"
 	"pebblelift/internal/upstream"
 )
@@ -25,6 +27,9 @@
 	OpenRequests      int                      // requests in the request table now
 	OpenTraceIDs      int                      // trace IDs in use now
 	Repeated          int                      // requests that were not accepted because they may have run before
+	FirstAttempts     int                      // requests with an attempt
+	FirstAttemptTotal float64                  // ms from the arrival of requests to their first attempts, in all
+	FirstAttemptMax   float64                  // the largest of these times since the last status line
 	ClientsCanceled   int                      // requests whose client disconnected before the response
 	Responses         [balance.ResultCount]int // responses to clients, by Response.Result
 	Attempts          [balance.ResultCount]int // ended attempts, by result
@@ -34,15 +39,32 @@
 	DiscoveryLatency  float64                  // ms from the start of the latest watch to its first message
 }
 
-// ConnectionStats holds counts of clients' connections.
-type ConnectionStats struct {
-	Open     int   // open connections
-	Accepted int64 // connections accepted since the start
-	Rejected int64 // connections rejected since the start because too many were open
+// noteFirstAttempt takes note of the time in ms from the arrival of a request to its first attempt.
+func (s *Stats) noteFirstAttempt(ms float64) {
+	s.FirstAttempts++
+	s.FirstAttemptTotal += ms
+	s.FirstAttemptMax = max(s.FirstAttemptMax, ms)
 }
 
-// SetConnectionStats sets the function that returns the counts of clients' connections for the status lines.
-func (l *Loop) SetConnectionStats(stats func() ConnectionStats) { l.connectionStats.Store(&stats) }
+// ServerStats holds counts of the server for clients, since its start unless a field says otherwise.
+type ServerStats struct {
+	Open             int           // open connections now
+	Accepted         int64         // connections accepted
+	Rejected         int64         // connections rejected because too many were open
+	AcceptErrors     int64         // failed calls of accept
+	HealthChecks     int64         // answered health checks
+	Refused          int64         // requests refused because there was no memory to serve them
+	InvalidMessages  int64         // messages rejected as invalid
+	LargeMessages    int64         // messages rejected as too large, or with too many header fields
+	SlowMessages     int64         // messages rejected because they did not arrive in time
+	UnstoredMessages int64         // messages rejected because there was no memory for them, or at the end of a shutdown
+	Evicted          int64         // messages among these that gave up their memory to others
+	Pauses           int64         // waits of clients that sent too fast
+	ParseTime        time.Duration // time spent on reading messages of clients
+}
+
+// SetServerStats sets the function that returns the counts of the server for the status lines.
+func (l *Loop) SetServerStats(stats func() ServerStats) { l.serverStats.Store(&stats) }
 
 // Stats returns the present counts. It returns ErrStopped if the loop has ended, or the error of ctx.
 func (l *Loop) Stats(ctx context.Context) (Stats, error) {
@@ -71,10 +93,11 @@
 		return
 	}
 	lb, stats, poolStats := d.balancer.Stats(), &d.stats, d.pool.Stats()
+	firstAttemptMax := stats.FirstAttemptMax
+	stats.FirstAttemptMax = 0
 	d.log.Info("status",
 		"requests", stats.Requests,
 		"open", len(d.requests),
-		"repeated", stats.Repeated,
 		slog.Group("responses",
 			"served", stats.Responses[balance.OK],
 			"rejected", stats.Responses[balance.Rejected],
@@ -99,9 +122,13 @@
 			"overdue", stats.DiscoveryOverdue,
 			"latency_ms", stats.DiscoveryLatency,
 			"generation", d.generation),
-		"waited_out_errors", transient.Total(),
 		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses),
-		slog.Group("clients", d.clientConnectionCounts()...),
+		slog.Group("clients", d.serverCounts()...),
+		slog.Group("memory", d.memoryCounts()...),
+		slog.Group("first_attempt", "count", stats.FirstAttempts, "total_ms", stats.FirstAttemptTotal,
+			"max_ms", firstAttemptMax),
+		slog.Group("process", "cpu_ms", processorTime().Milliseconds(), "waited_out_errors", transient.Total()),
+		"repeated", stats.Repeated,
 		slog.Group("gossip", "received", lb.GossipReceived, "dropped", lb.GossipDropped))
 }
 
@@ -116,14 +143,39 @@
 	return attrs
 }
 
-// clientConnectionCounts returns the counts of clients' connections as log attributes, or nil if they are not known.
-func (d *dispatcher) clientConnectionCounts() []any {
-	connectionStats := d.loop.connectionStats.Load()
-	if connectionStats == nil {
+// serverCounts returns the counts of the server for clients as log attributes, or nil if they are not known.
+func (d *dispatcher) serverCounts() []any {
+	serverStats := d.loop.serverStats.Load()
+	if serverStats == nil {
 		return nil
 	}
-	stats := (*connectionStats)()
-	return []any{"open", stats.Open, "accepted", stats.Accepted, "rejected", stats.Rejected}
+	stats := (*serverStats)()
+	return []any{
+		"open", stats.Open, "accepted", stats.Accepted, "rejected", stats.Rejected, "accept_errors", stats.AcceptErrors,
+		"health_checks", stats.HealthChecks, "refused", stats.Refused, "pauses", stats.Pauses,
+		"invalid", stats.InvalidMessages, "too_large", stats.LargeMessages, "too_slow", stats.SlowMessages,
+		"not_stored", stats.UnstoredMessages, "evicted", stats.Evicted, "parse_ms", stats.ParseTime.Milliseconds(),
+	}
+}
+
+// memoryCounts returns the use of the memory budget as log attributes, in KiB by part.
+func (d *dispatcher) memoryCounts() []any {
+	const kiB = 1 << 10
+	usage := d.loop.memory.Usage()
+	attrs := []any{"budget_kb", usage.Capacity / kiB, "peak_kb", usage.Peak / kiB}
+	for part := range budget.PartCount {
+		attrs = append(attrs, part.String()+"_kb", usage.Used[part]/kiB, part.String()+"_refused", usage.Refused[part])
+	}
+	return attrs
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // logAttempt logs an attempt that failed, unless maxLoggedAttempts have been logged since the last status line. An
--- a/internal/upstream/acquire_test.go
+++ b/internal/upstream/acquire_test.go
@@ -34,7 +34,7 @@
 	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
 	pool := newTestPool(t, 9)
 	endpoint := &Endpoint{addr: stub.Addr}
-	rt := newRoundTrip("GET")
+	rt := newRoundTrip(t.Context(), "GET")
 	c, err := pool.acquire(context.Background(), endpoint, rt)
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +69,7 @@
 	var conns []*conn
 	var roundTrips []*roundTrip
 	for range 2 {
-		rt := newRoundTrip("GET")
+		rt := newRoundTrip(t.Context(), "GET")
 		c, err := pool.acquire(context.Background(), endpoint, rt)
 		if err != nil {
 			t.Fatal(err)
@@ -145,7 +145,7 @@
 	failures = []error{syscall.ECONNREFUSED}
 	e := &Endpoint{}
 	pool.UpdateEndpoint(e, stub.Addr, true)
-	if _, err := pool.acquire(t.Context(), e, newRoundTrip("GET")); !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := pool.acquire(t.Context(), e, newRoundTrip(t.Context(), "GET")); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("error %v, want %v at once, because it comes from the endpoint", err, syscall.ECONNREFUSED)
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -47,6 +48,7 @@
 
 // roundTrip is one request and its response on a connection.
 type roundTrip struct {
+	ctx            context.Context // ends when nobody waits for the response any more
 	method         string
 	connectionIdle time.Duration // how long the connection had been idle before; 0 for a new connection
 	writeStarted   atomic.Bool   // whether the first byte of the request may have been sent
@@ -54,8 +56,25 @@
 	result         chan Response // receives the one result; buffered
 }
 
-func newRoundTrip(method string) *roundTrip {
-	return &roundTrip{method: method, writeEnded: make(chan struct{}), result: make(chan Response, 1)}
+func newRoundTrip(ctx context.Context, method string) *roundTrip {
+	return &roundTrip{ctx: ctx, method: method, writeEnded: make(chan struct{}), result: make(chan Response, 1)}
+}
+
+// deliver passes the result on. If nobody waits for it any more, its memory is released.
+func (rt *roundTrip) deliver(r Response) {
+	rt.result <- r
+	if rt.ctx.Err() != nil {
+		rt.releaseUndelivered()
+	}
+}
+
+// releaseUndelivered releases the memory of a result that nobody waits for.
+func (rt *roundTrip) releaseUndelivered() {
+	select {
+	case r := <-rt.result:
+		r.Release()
+	default:
+	}
 }
 
 // respondedEarly reports whether the response arrived although the request is not completely written. It waits up to
@@ -82,21 +101,21 @@
 		case closeConnection:
 			c.Close()
 			if rt != nil {
-				rt.result <- failure(balance.Reset, connectionError(err))
+				rt.deliver(failure(balance.Reset, connectionError(err)))
 			}
 			return
 		}
 		r, reusable := p.receiveResponse(c, rt)
 		if reusable && c.reader.Buffered() == 0 {
 			p.release(c, rt)
-			rt.result <- r
+			rt.deliver(r)
 			continue
 		}
 		p.mu.Lock()
 		p.remove(c)
 		p.mu.Unlock()
 		c.Close()
-		rt.result <- r
+		rt.deliver(r)
 		return
 	}
 }
@@ -145,11 +164,12 @@
 // take the rest of the request for the next one. Unless it is a rejection, an early response is replaced by
 // ErrEarlyResponse, because it cannot belong to a request that the endpoint has not received.
 func (p *Pool) receiveResponse(c *conn, rt *roundTrip) (r Response, reusable bool) {
-	r, reusable = readResponse(c.reader, rt.method, p.options.ReportFields)
+	r, reusable = readResponse(rt.ctx, c.reader, rt.method, p.options.ReportFields, p.options.Memory)
 	if r.Result == balance.Reset || !rt.respondedEarly() {
 		return r, reusable
 	}
 	if r.Result != balance.Rejected {
+		r.Release()
 		r = failure(balance.Reset, ErrEarlyResponse)
 	}
 	return r, false
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -39,7 +39,7 @@
 	}
 	defer nc.Close()
 	pool := newTestPool(t, 9)
-	rt := newRoundTrip("GET")
+	rt := newRoundTrip(t.Context(), "GET")
 	rt.writeStarted.Store(true)
 	close(rt.writeEnded)
 	limited := &limitedReader{source: &deadlineOnFirstRead{Conn: nc}}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -16,7 +16,7 @@
 // Do sends an attempt to its endpoint and returns the outcome. When ctx ends, Do cancels the attempt, closes its
 // connection and returns soon after.
 func (p *Pool) Do(ctx context.Context, a *Attempt) (r Response) {
-	rt := newRoundTrip(a.Request.Method)
+	rt := newRoundTrip(ctx, a.Request.Method)
 	defer func() { r.ConnectionIdle = rt.connectionIdle }()
 	c, err := p.acquire(ctx, a.Endpoint, rt)
 	if err != nil {
@@ -40,6 +40,7 @@
 		return r
 	case <-ctx.Done():
 		p.closeIfCurrent(c, rt)
+		rt.releaseUndelivered()
 		return failure(balance.Canceled, ctx.Err())
 	}
 }
@@ -75,6 +76,7 @@
 		Deadline:    p.options.Clock.Now() + healthCheckTimeout,
 		StartBefore: math.Inf(1),
 	})
+	defer r.Release()
 	if r.Result == balance.OK && len(r.LoadReport) == 0 {
 		r.LoadReport = headers.ParseLoadReport(string(r.Body), p.options.ReportFields)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
 )
 
@@ -26,12 +27,13 @@
 
 // Options configures a Pool.
 type Options struct {
-	Clock           clock.Clock   // the clock of Attempt.Deadline and Attempt.StartBefore
-	MaxConnections  int           // limit on open connections to all endpoints together
-	ConnectTimeout  time.Duration // limit on the time to establish a connection; 0 for a default
-	ConnIdleTimeout time.Duration // time after which endpoints close idle connections; 0 for a default
-	DrainGrace      float64       // how long an unavailable endpoint still takes requests, in ms
-	ReportFields    []string      // names of the values in Response.LoadReport, in order
+	Clock           clock.Clock    // the clock of Attempt.Deadline and Attempt.StartBefore
+	Memory          *budget.Memory // what responses may take; nil for no limit
+	MaxConnections  int            // limit on open connections to all endpoints together
+	ConnectTimeout  time.Duration  // limit on the time to establish a connection; 0 for a default
+	ConnIdleTimeout time.Duration  // time after which endpoints close idle connections; 0 for a default
+	DrainGrace      float64        // how long an unavailable endpoint still takes requests, in ms
+	ReportFields    []string       // names of the values in Response.LoadReport, in order
 
 	// Control is called for each new socket before it connects, like net.Dialer.Control. It may be nil.
 	Control func(network, address string, c syscall.RawConn) error
@@ -59,6 +61,9 @@
 	if o.ConnIdleTimeout <= 0 {
 		o.ConnIdleTimeout = defaultIdleTimeout
 	}
+	if o.Memory == nil {
+		o.Memory = budget.NewMemory(0)
+	}
 	return &Pool{
 		options:       o,
 		dialer:        net.Dialer{KeepAlive: -1, Control: o.Control}, // no TCP keep-alive, as attempts have deadlines
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +11,8 @@
 	"testing"
 
 	"pebblelift/balance"
+	"pebblelift/internal/budget"
+	"pebblelift/internal/clock"
 	"pebblelift/internal/nettest"
 )
 
@@ -24,6 +28,13 @@
 		"200 in chunks": {
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.OK, true,
 		},
+		"200 in chunks with a trailer": {
+			"HTTP/1.1 200 OK\r\nTrailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-T: " +
+				strings.Repeat("x", 1000) + "\r\n\r\n", balance.OK, true,
+		},
+		"200 with a long head": {
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-L: " + strings.Repeat("x", 10000) + "\r\n\r\nhi", balance.OK, true,
+		},
 		"200 after 100": {"HTTP/1.1 100 Continue\r\n\r\n" + nettest.OKResponse, balance.OK, true},
 		"200 with Connection: close": {
 			"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", balance.OK, false,
@@ -90,6 +101,7 @@
 		"headers":                 {"HTTP/1.1 200 OK\r\n", longField},
 		"header line":             {"HTTP/1.1 200 OK\r\nX-More: ", long},
 		"chunk extension":         {chunked + "2;", long},
+		"many short headers":      {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
 		"trailers":                {chunked + "2\r\nhi\r\n0\r\n", longField},
 		"informational responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
 	} {
@@ -113,3 +125,47 @@
 		})
 	}
 }
+
+// Guards against a process over its memory limit because an endpoint sends responses with very many short header fields,
+// which take far more memory once they are parsed than on the wire.
+func TestResponsesWithManyHeaderFieldsAreNotParsed(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + strings.Repeat("a:\r\n", maxHeadFields) + "\r\nhi"
+	stub := nettest.NewStubServer(t, nettest.RespondWith(response))
+	pool := newTestPool(t, 9)
+	r := pool.Do(context.Background(), pool.newAttempt(&Endpoint{addr: stub.Addr}))
+	if r.Result != balance.Reset || !errors.Is(r.Err, ErrOversized) {
+		t.Errorf("result %v, error %v, want %v and %v", r.Result, r.Err, balance.Reset, ErrOversized)
+	}
+}
+
+// Guards against responses that take more memory than the budget has, and against memory that is not released when a
+// response is no longer wanted. A response without room is read once others are released.
+func TestResponsesWaitForMemory(t *testing.T) {
+	const size = 1000
+	stub := nettest.NewStubServer(t, nettest.RespondWith(
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))))
+	memory := budget.NewMemory(size)
+	pool := NewPool(Options{Clock: clock.New(), Memory: memory, MaxConnections: 9, DrainGrace: 250})
+	endpoint := &Endpoint{addr: stub.Addr}
+	first := pool.Do(t.Context(), pool.newAttempt(endpoint))
+	responses := make(chan Response, 2)
+	canceled, cancel := context.WithCancel(t.Context())
+	go func() { responses <- pool.Do(canceled, pool.newAttempt(endpoint)) }()
+	nettest.Eventually(t, "a response waits", func() bool { return memory.Usage().Refused[budget.Responses] > 0 })
+	cancel()
+	if r := nettest.Receive(t, responses); r.Result != balance.Canceled {
+		t.Errorf("canceled attempt: result %v, want %v", r.Result, balance.Canceled)
+	}
+	refused := memory.Usage().Refused[budget.Responses]
+	go func() { responses <- pool.Do(t.Context(), pool.newAttempt(endpoint)) }()
+	nettest.Eventually(t, "a response waits", func() bool { return memory.Usage().Refused[budget.Responses] > refused })
+	first.Release()
+	r := nettest.Receive(t, responses)
+	if r.Result != balance.OK || len(r.Body) != size {
+		t.Errorf("result %v (%v), %d bytes, want %v and %d", r.Result, r.Err, len(r.Body), balance.OK, size)
+	}
+	r.Release()
+	nettest.Eventually(t, "all memory is released", func() bool {
+		return memory.Usage().Used == [budget.PartCount]int64{}
+	})
+}
