Accept repeated Connection fields and lists of options, as HTTP allows

Read while the parser was reviewed: it rejected a repeated Connection, Expect or Content-Type field and an empty Host, which net/http had accepted, and did not find close in a list of options. Only fields whose repetition is ambiguous are rejected now. TestUnusualRequestsAreServed covers these forms, TestLargeHeadsAreRejected that a head is rejected before it ends.

--- a/internal/downstream/head.go
+++ b/internal/downstream/head.go
@@ -32,14 +32,18 @@
 	chunked        bool // the body has the chunked coding
 }
 
-// knownFields are the header fields that a requestHead keeps. None of them may stand in a message twice, because the
-// sidecar and the endpoints, or anybody between, might use different values of a repeated field.
+// knownFields are the header fields that a requestHead keeps. Those from singleFieldsStart on must not stand in a
+// message twice, because the sidecar and the endpoints, or anybody between, might use different values of a repeated
+// field. Of the others the first value counts; the values of Connection form a list.
 var knownFields = [...]string{
-	hostField, connectionField, contentLengthField, transferEncodingField, expectField, contentTypeField,
-	headers.TraceID, headers.Class, headers.Tenant, headers.Timeout, headers.IdempotencyKey, headers.Retry,
-	headers.WorkHint,
+	connectionField, expectField, contentTypeField, headers.Retry, headers.WorkHint,
+	hostField, contentLengthField, transferEncodingField,
+	headers.TraceID, headers.Class, headers.Tenant, headers.Timeout, headers.IdempotencyKey,
 }
 
+// singleFieldsStart is the position in knownFields of the first field that must not be repeated.
+const singleFieldsStart = 5
+
 // The reasons why a head is invalid, which clients read in the response.
 var (
 	errRequestLine     = errors.New("malformed request line")
@@ -66,8 +70,17 @@
 
 // wantsClose reports whether the client wants the connection to end after the response.
 func (h *requestHead) wantsClose() bool {
-	option := h.get(connectionField)
-	return strings.EqualFold(option, "close") || h.isHTTP10 && !strings.EqualFold(option, "keep-alive")
+	return h.hasConnectionOption("close") || h.isHTTP10 && !h.hasConnectionOption("keep-alive")
+}
+
+// hasConnectionOption reports whether the client has named an option for the connection.
+func (h *requestHead) hasConnectionOption(option string) bool {
+	for named := range strings.SplitSeq(h.get(connectionField), ",") {
+		if strings.EqualFold(strings.TrimSpace(named), option) {
+			return true
+		}
+	}
+	return false
 }
 
 // expectsContinue reports whether the client waits for a response with status 100 before it sends the body.
@@ -101,7 +114,7 @@
 			return nil, err
 		}
 	}
-	if !head.isHTTP10 && head.get(hostField) == "" {
+	if !head.isHTTP10 && !head.has(hostField) {
 		return nil, badRequest(errNoHost)
 	}
 	return head, head.parseLength()
@@ -136,10 +149,20 @@
 		if len(known) != len(name) || !strings.EqualFold(known, string(name)) {
 			continue
 		}
-		if h.present[i] {
-			return badRequest(&repeatedFieldError{name: known})
-		}
-		h.values[i], h.present[i] = string(value), true
+		return h.keepField(i, string(value))
+	}
+	return nil
+}
+
+// keepField keeps the value of the known field at position i.
+func (h *requestHead) keepField(i int, value string) *RequestError {
+	switch {
+	case !h.present[i]:
+		h.values[i], h.present[i] = value, true
+	case i >= singleFieldsStart:
+		return badRequest(&repeatedFieldError{name: knownFields[i]})
+	case knownFields[i] == connectionField:
+		h.values[i] += "," + value
 	}
 	return nil
 }
--- a/internal/downstream/request_test.go
+++ b/internal/downstream/request_test.go
@@ -84,3 +84,59 @@
 		t.Errorf("status %d, want 200", resp.StatusCode)
 	}
 }
+
+// A request with any of the forms that HTTP allows is served: options for the connection in a list or in several fields,
+// fields that the sidecar does not know, a body that the client holds back until it is asked for it.
+func TestUnusualRequestsAreServed(t *testing.T) {
+	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
+	h := newHarnessWithEndpoints(t, stub.Addr)
+	usual := idempotentRequest("t")
+	for name, test := range map[string]struct {
+		fields string
+		close  bool
+	}{
+		"list of options":    {"Connection: keep-alive, Close\r\n", true},
+		"options in fields":  {"Connection: x\r\nConnection: close\r\n", true},
+		"unknown fields":     {"X-A:1\r\nX-A:\t2 \r\nX-Empty:\r\n", false},
+		"repeated type":      {"Content-Type: a/b\r\ncontent-type: c/d\r\n", false},
+		"bare line feeds":    {"X-A: 1\nX-B: 2\n", false},
+		"ninety more fields": {strings.Repeat("a: b\r\n", 90), false},
+	} {
+		request := strings.Replace(usual, "Host:", test.fields+"Host:", 1)
+		if resp, body := h.request(request); resp.StatusCode != 200 || body != "hi" || resp.Close != test.close {
+			t.Errorf("%s: status %d, body %q, close %v, want 200, hi and %v",
+				name, resp.StatusCode, body, resp.Close, test.close)
+		}
+	}
+	c, reader := h.connect()
+	io.WriteString(c, strings.Replace(nonIdempotentRequest("u"), "Content-Length: 0",
+		"Expect: 100-continue\r\nContent-Length: 5", 1))
+	if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != http.StatusContinue {
+		t.Fatalf("response %+v, error %v, want status 100", resp, err)
+	}
+	io.WriteString(c, "hello")
+	if resp, body := h.readResponse(reader); resp.StatusCode != 200 || body != "hi" {
+		t.Errorf("after 100: status %d, body %q, want 200 and hi", resp.StatusCode, body)
+	}
+}
+
+// Guards against heads that are parsed although they have very many fields, and against clients that are told nothing.
+func TestLargeHeadsAreRejected(t *testing.T) {
+	h := newHarnessWithEndpoints(t, nettest.ClosedAddress(t))
+	for name, fields := range map[string]string{
+		"many short fields": strings.Repeat("a:\r\n", maxHeadFields+1),
+		"one long field":    "X-Long: " + strings.Repeat("x", maxHeadSize),
+		"long target":       "",
+	} {
+		request := "GET /look HTTP/1.1\r\n" + fields
+		if name == "long target" {
+			request = "GET /" + strings.Repeat("x", maxHeadSize)
+		}
+		if resp, _ := h.request(request); resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge || !resp.Close {
+			t.Errorf("%s: status %d, close %v, want 431 and close before the head ends", name, resp.StatusCode, resp.Close)
+		}
+	}
+	if n := h.server.stats.tooLarge.Load(); n != 3 {
+		t.Errorf("%d messages counted as too large, want 3", n)
+	}
+}
