Keep the limits for clients during a shutdown

Cause: the waits of clients that send too fast ended when the shutdown began, so the flood took the processor, and connections waited unaccepted until the listener closed. The waits now hold during a shutdown, and health checks end their connections once it accepts no new ones.

--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -182,7 +182,7 @@
 	case checkHealth:
 		c.server.stats.healthChecks.Add(1)
 		r := healthResponse(c.server.healthy())
-		r.close = w.head.hasBody()
+		r.close = w.head.hasBody() || drainMode(c.server.drainMode.Load()) >= drainAll
 		c.respond(w, r)
 		c.pause(c.answered.Take(time.Now()))
 	case rejectMessage:
@@ -232,7 +232,7 @@
 	c.respond(w, r)
 }
 
-// pause lets the connection rest. It ends early when the client disconnects or the server drains.
+// pause lets the connection rest. It ends early when the client disconnects.
 func (c *conn) pause(wait time.Duration) {
 	if wait <= 0 {
 		return
@@ -243,15 +243,15 @@
 	select {
 	case <-timer.C:
 	case <-c.ctx.Done():
-	case <-c.server.drainStarted:
 	}
 }
 
 // respond writes the response to a message. The connection ends after it if the response or the client says so, or if
-// the server drains and nothing else of the client has been read.
+// the server drains and nothing else of the client has been read, or its shutdown comes to an end.
 func (c *conn) respond(w *work, r response) {
 	c.mu.Lock()
-	drains := c.server.draining() && c.parser.empty()
+	mode := drainMode(c.server.drainMode.Load())
+	drains := mode == drainUnfinished || mode != drainNone && c.parser.empty()
 	r.close = r.close || drains || w.head != nil && w.head.wantsClose()
 	r.omitBody = w.head != nil && w.head.method == http.MethodHead
 	c.reused = true
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -81,7 +81,6 @@
 	table           *connTable
 	stats           serverStats
 	drainMode       atomic.Int32                         // the current drainMode
-	drainStarted    chan struct{}                        // closed when the server begins to drain
 	after           func(time.Duration) <-chan time.Time // time.After; replaced by tests
 }
 
@@ -89,16 +88,15 @@
 func NewServer(loop *sidecar.Loop, log *slog.Logger) *Server {
 	limits := loop.Config().Limits
 	s := &Server{
-		loop:         loop,
-		log:          log,
-		classes:      map[string]int{},
-		tenants:      map[string]int{},
-		timeouts:     defaultTimeouts,
-		memory:       loop.Memory(),
-		unsound:      budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
-		table:        newConnTable(limits.DownstreamConnections()),
-		drainStarted: make(chan struct{}),
-		after:        time.After,
+		loop:     loop,
+		log:      log,
+		classes:  map[string]int{},
+		tenants:  map[string]int{},
+		timeouts: defaultTimeouts,
+		memory:   loop.Memory(),
+		unsound:  budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
+		table:    newConnTable(limits.DownstreamConnections()),
+		after:    time.After,
 	}
 	settings := &loop.Config().Settings
 	for i, name := range settings.Classes {
@@ -131,7 +129,6 @@
 // send on open connections until SIGKILL, so a connection is closed only with nothing of a request read, or after a
 // response.
 func (s *Server) drain(ln net.Listener, acceptEnded <-chan struct{}) {
-	close(s.drainStarted)
 	s.loop.Shutdown(acceptAfterShutdown + s.drainTimeout - shutdownMargin)
 	s.setDrainMode(drainReused)
 	<-s.after(acceptAfterShutdown)
@@ -161,14 +158,7 @@
 }
 
 // draining reports whether the server drains.
-func (s *Server) draining() bool {
-	select {
-	case <-s.drainStarted:
-		return true
-	default:
-		return false
-	}
-}
+func (s *Server) draining() bool { return drainMode(s.drainMode.Load()) != drainNone }
 
 // healthy reports whether requests can be served and the server does not drain.
 func (s *Server) healthy() bool { return s.loop.Ready() && !s.draining() }
@@ -200,7 +190,6 @@
 	select {
 	case <-timer.C:
 	case <-c.cut:
-	case <-s.drainStarted:
 	}
 }
 
--- a/internal/faulttest/servers_test.go
+++ b/internal/faulttest/servers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,8 +20,20 @@
 	runs     *runRecord
 	service  time.Duration // how long a request takes
 	bodySize int           // size of an answer's body in bytes
+	fault    string        // one of serverFaults, or empty
 }
 
+// The faults of pick servers.
+const (
+	serverHangs       = "hangs"
+	serverFails       = "answers 500"
+	serverResets      = "resets connections"
+	serverManyFields  = "answers with many header fields"
+	serverEndlessBody = "answers without end"
+)
+
+var serverFaults = []string{serverHangs, serverFails, serverResets, serverManyFields, serverEndlessBody}
+
 // runRecord holds when requests began at any pick server, by trace ID.
 type runRecord struct {
 	mu   sync.Mutex
@@ -85,9 +98,34 @@
 			s.runs.add(id)
 			time.Sleep(s.service)
 		}
+		if s.fault != "" {
+			s.misbehave(c)
+			return
+		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
 		if _, err := c.Write(body); err != nil {
 			return
 		}
 	}
 }
+
+// misbehave answers a request in the way of the server's fault, or not at all, and returns when the connection ends.
+func (s *pickServer) misbehave(c net.Conn) {
+	switch s.fault {
+	case serverHangs:
+		io.Copy(io.Discard, c)
+	case serverFails:
+		io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	case serverResets:
+		c.(*net.TCPConn).SetLinger(0)
+	case serverManyFields:
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 100000))
+	case serverEndlessBody:
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for {
+			if _, err := io.WriteString(c, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n"); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// checkShutdown checks that the process ends by itself, and has stayed within its memory.
+func (s *sidecar) checkShutdown() {
+	s.t.Helper()
+	nettest.Eventually(s.t, "the process ends", func() bool { return !s.alive() })
+	peak, limit := s.peakMemory(), s.limits.memoryMB<<10
+	s.t.Logf("peak memory: %d of %d kB", peak, limit)
+	if state := s.cmd.ProcessState; !state.Success() || peak > limit {
+		s.t.Errorf("the process ended with %v and peak memory %d kB of %d kB", state, peak, limit)
+	}
+}
+
 // tail returns the last n bytes of a text.
 func tail(text string, n int) string { return text[max(0, len(text)-n):] }
 
