Limit the gossip datagrams of unknown senders

Looked for as the same mistake in related code: each datagram from anywhere was handed to the event loop, so that one sender could take its time. Messages of unknown senders are limited to 200 a second after a burst of 50; beyond that the receiver drops them and rests, while the kernel drops what does not fit.

--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pebblelift/balance"
+	"pebblelift/internal/budget"
 	"pebblelift/internal/config"
 	"pebblelift/internal/transient"
 )
@@ -24,6 +25,12 @@
 	// sendTimeout is the longest time that sending a gossip message may take. A datagram may be lost, but the event
 	// loop must not wait for it.
 	sendTimeout = 10 * time.Millisecond
+
+	// strangerInterval and strangerBurst limit the messages from unknown senders: so many at once, then one in each
+	// interval. Beyond that, Receive drops them and rests for strangerPause after each.
+	strangerInterval = 5 * time.Millisecond
+	strangerBurst    = 50
+	strangerPause    = time.Millisecond
 )
 
 // Transport is a UDP socket for messages to and from the other sidecars.
@@ -32,6 +39,7 @@
 	broadcast   netip.AddrPort         // address that reaches all peers
 	peers       []netip.AddrPort       // by peer index
 	indexByAddr map[netip.AddrPort]int // peer index by address
+	strangers   budget.TokenBucket     // limits the messages from unknown senders
 }
 
 // Open opens the socket at the configured listen address. The error says why the socket could not be opened.
@@ -44,7 +52,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	t := &Transport{conn: conn, broadcast: c.Broadcast, peers: c.Peers, indexByAddr: map[netip.AddrPort]int{}}
+	t := &Transport{
+		conn: conn, broadcast: c.Broadcast, peers: c.Peers, indexByAddr: map[netip.AddrPort]int{},
+		strangers: budget.TokenBucket{Interval: strangerInterval, Burst: strangerBurst},
+	}
 	for i, addr := range c.Peers {
 		t.indexByAddr[addr] = i
 	}
@@ -78,7 +89,8 @@
 }
 
 // Receive calls handle with each message and its sender's peer index, or UnknownSender, until the socket is closed.
-// It continues after a failed read, because the socket remains usable.
+// It continues after a failed read, because the socket remains usable. Most messages of unknown senders are dropped
+// while there are many of them.
 func (t *Transport) Receive(handle func(sender int, data []byte)) {
 	buf := make([]byte, maxDatagramSize+1) // the extra byte reveals datagrams that are too large
 	for backoff := (transient.Backoff{}); ; {
@@ -91,7 +103,12 @@
 			continue
 		}
 		backoff.Reset()
-		handle(t.sender(from), append([]byte(nil), buf[:n]...))
+		sender := t.sender(from)
+		if sender == UnknownSender && t.strangers.TakeWithin(time.Now(), strangerPause) > 0 {
+			time.Sleep(strangerPause)
+			continue
+		}
+		handle(sender, append([]byte(nil), buf[:n]...))
 	}
 }
 
