Test that the timeout of a request sent ahead counts from its arrival

Endpoints were told to work for longer than the client waits: the deadline of a request that was read behind another one counted from when its turn came, not from its last byte.

--- a/internal/downstream/read_ahead_test.go
+++ b/internal/downstream/read_ahead_test.go
@@ -8,8 +8,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"pebblelift/internal/budget"
+	"pebblelift/internal/headers"
 	"pebblelift/internal/nettest"
 	"pebblelift/internal/upstream"
 )
@@ -124,3 +126,29 @@
 		}
 	}
 }
+
+// Guards against an endpoint that is told to work for longer than the client waits, because the timeout of a request that
+// was sent ahead counted from when its turn came.
+func TestTimeoutOfRequestSentAheadCountsFromItsArrival(t *testing.T) {
+	const held = 400 * time.Millisecond
+	told := make(chan string, 2)
+	stub := nettest.NewStubServer(t, func(c net.Conn, req *http.Request, _ string) bool {
+		told <- req.Header.Get(headers.Timeout)
+		if req.Header.Get(headers.TraceID) == "first" {
+			time.Sleep(held) // the time that passes is what the test is about
+		}
+		io.WriteString(c, nettest.OKResponse)
+		return true
+	})
+	h := newHarnessWithEndpoints(t, stub.Addr)
+	c, reader := h.connect()
+	io.WriteString(c, idempotentRequest("first")+idempotentRequest("second"))
+	for range 2 {
+		h.readResponse(reader)
+	}
+	nettest.Receive(t, told)
+	timeout, err := headers.ParseTimeout(nettest.Receive(t, told))
+	if most := 9000.0 - float64(held.Milliseconds()); err != nil || timeout > most {
+		t.Errorf("the endpoint was told %v ms, error %v, want at most %v ms", timeout, err, most)
+	}
+}
