Limit health checks more than refused requests

They are limited to 4 at once and 10 a second on a connection now, refused requests to 20 at once and 50 a second as before.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -38,8 +38,10 @@
 	acceptAt time.Time
 	ctx      context.Context // ends when the client disconnects
 	cancel   context.CancelFunc
-	answered budget.TokenBucket // limits messages that are answered without an endpoint
-	cut      chan struct{}      // closed when a connection that is held has to give up its slot
+	cut      chan struct{} // closed when a connection that is held has to give up its slot
+
+	refusals     budget.TokenBucket // limits requests that no endpoint answers
+	healthChecks budget.TokenBucket // limits health checks
 
 	// unfinishedSince is when the client began the message that has not arrived whole, in Unix nanoseconds, or 0.
 	unfinishedSince atomic.Int64
@@ -67,7 +69,8 @@
 	c := &conn{Conn: nc, server: s, acceptAt: time.Now(), cut: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.continued.L = &c.mu
-	c.answered = budget.TokenBucket{Interval: answeredInterval, Burst: answeredBurst}
+	c.refusals = budget.TokenBucket{Interval: refusalInterval, Burst: refusalBurst}
+	c.healthChecks = budget.TokenBucket{Interval: healthInterval, Burst: healthBurst}
 	return c
 }
 
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// answeredInterval and answeredBurst limit the messages of a connection that are answered without an endpoint, such
-	// as health checks and refusals: so many at once, then one in each interval. Further ones wait unread, so that a
-	// client that sends without pause takes no time from others.
-	answeredInterval = 20 * time.Millisecond
-	answeredBurst    = 20
+	// The following limit the messages of a connection that are answered without an endpoint: a burst at once, then one
+	// in each interval. Further ones wait unread, so that a client that sends without pause takes no time from others.
+	refusalInterval = 20 * time.Millisecond
+	refusalBurst    = 20
+	healthInterval  = 100 * time.Millisecond
+	healthBurst     = 4
 	// lingerTimeout and maxLingerBytes limit what is read after the last response on a connection. A close over unread
 	// bytes would reset the connection, perhaps before the client has read the response.
 	lingerTimeout  = 500 * time.Millisecond
@@ -184,7 +185,7 @@
 		r := healthResponse(c.server.healthy())
 		r.close = w.head.hasBody() || drainMode(c.server.drainMode.Load()) >= drainAll
 		c.respond(w, r)
-		c.pause(c.answered.Take(time.Now()))
+		c.pause(c.healthChecks.Take(time.Now()))
 	case rejectMessage:
 		c.rejectMessage(w)
 	}
@@ -197,7 +198,7 @@
 		w.memory.Release()
 		c.server.stats.refused.Add(1)
 		c.respond(w, errorResponse(http.StatusServiceUnavailable, errNoMemory))
-		c.pause(c.answered.Take(time.Now()))
+		c.pause(c.refusals.Take(time.Now()))
 		return
 	}
 	defer c.server.memory.Release(budget.Requests, requestCost)
@@ -215,7 +216,7 @@
 		c.respond(w, finalResponse(response))
 	}
 	if !response.Attempted {
-		c.pause(c.answered.Take(time.Now()))
+		c.pause(c.refusals.Take(time.Now()))
 	}
 }
 
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	seedCount = flag.Int("faulttest.seeds", 4, "number of seeds of TestSeededFaults")
+	seedCount = flag.Int("faulttest.seeds", 12, "number of seeds of TestSeededFaults")
 	firstSeed = flag.Uint64("faulttest.first", 1, "first seed of TestSeededFaults")
 )
 
