Take a restart for cold whatever the wall clocks of the machines show

Suspected by reading, and shown by a test: with the sidecar's wall clock an hour ahead at its start, or an endpoint's stepped back, a restarted endpoint passed for warm, or was not seen to have restarted, and would have got more than its slow-start budget. Cause: its start time was compared with the sidecar's clock, and only a later one counted as a restart.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,6 +35,7 @@
 
 	endpoints    []*endpoint // listed endpoints in order of ID
 	endpointByID map[EndpointID]*endpoint
+	listedAt     float64 // when discovery stated the last entries, in ms; -Inf if unknown
 	requests     map[RequestID]*request
 
 	requestRate  rateMeter
@@ -62,6 +63,7 @@
 		random:           randomSource{state: cfg.Seed},
 		shutdownAt:       math.Inf(1),
 		endpointByID:     map[EndpointID]*endpoint{},
+		listedAt:         math.Inf(-1),
 		requests:         map[RequestID]*request{},
 		requestRate:      newRateMeter(longestObjective),
 		demand:           newDemandTracker(&cfg),
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -4,6 +4,7 @@
 // state.
 type endpoint struct {
 	Endpoint
+	listedAt           float64 // when discovery stated the entry, in ms; -Inf if unknown
 	rotation           rotationState
 	learnedLogCapacity float64 // log of the learned capacity factor of this endpoint alone; see capacityModel
 	inFlight           int     // this sidecar's attempts in flight
--- a/balance/event.go
+++ b/balance/event.go
@@ -27,7 +27,7 @@
 	// Lifecycle is the state of the endpoint. Only a Ready endpoint gets attempts.
 	Lifecycle Lifecycle
 	// StartedAt is the instant, in ms, at which the endpoint's process started, or 0 if the process started
-	// long ago. An entry with a later StartedAt than the endpoint's previous entry reports a restart. After a
+	// long ago. An entry with another StartedAt than the endpoint's previous entry reports a restart. After a
 	// start or a restart the endpoint warms up; see Config.SlowStartDuration.
 	StartedAt float64
 	// NominalCapacity is the capacity of the endpoint relative to an ordinary endpoint, which has 1. A value
