Reject malformed trailers and targets in the parser

FuzzParser found two inputs that the parser took for requests and net/http did not: a trailer line without a colon, and a target that is no URI, which was rejected only after the parser. Both are rejected in the parser now and are among the seeds of the fuzz test.

--- a/internal/downstream/chunked.go
+++ b/internal/downstream/chunked.go
@@ -82,8 +82,19 @@
 		d.state = expectChunkSize
 	case d.state == expectChunkEnd:
 		return badRequest(errChunked)
+	case len(line) == 0:
+		d.ended = true
 	default:
-		d.ended = len(line) == 0
+		return checkTrailer(line)
+	}
+	return nil
+}
+
+// checkTrailer checks the line of a field after the body. The field itself is dropped.
+func checkTrailer(line []byte) *RequestError {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !isToken(name) {
+		return badRequest(errChunked)
 	}
 	return nil
 }
--- a/internal/downstream/head.go
+++ b/internal/downstream/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -132,6 +133,9 @@
 		return badRequest(errRequestLine)
 	}
 	h.method, h.target = string(method), string(target)
+	if _, err := url.ParseRequestURI(h.target); err != nil {
+		return badRequest(errRequestLine)
+	}
 	return nil
 }
 
--- a/internal/downstream/parser_test.go
+++ b/internal/downstream/parser_test.go
@@ -108,6 +108,8 @@
 		start + "X: y\r\n Content-Length: 3\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 		start + "Content-Length:\r\n 3\r\n\r\nabcGET / HTTP/1.1\nHost: x\n\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
 		"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		start + "Transfer-Encoding: chunked\r\n\r\n0\r\nno field\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET relative HTTP/1.0\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 		"\r\n" + start + "Content-Length: 0\r\n\r\n\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
 	} {
 		for _, partSize := range []uint8{1, 5, 255} {
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -100,9 +100,6 @@
 	if idempotency == balance.Idempotent {
 		method = http.MethodGet
 	}
-	if _, err := url.ParseRequestURI(head.target); err != nil {
-		return errWrongPath
-	}
 	switch {
 	case head.get(headers.TraceID) == "":
 		return errNoTraceID
