--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -17,6 +17,7 @@
 
 var (
 	seedCount = flag.Int("faulttest.seeds", 12, "number of seeds of TestSeededFaults")
+	duration  = flag.Duration("faulttest.duration", 0, "duration of a seed of TestSeededFaults; 0: drawn")
 	firstSeed = flag.Uint64("faulttest.first", 1, "first seed of TestSeededFaults")
 )
 
@@ -64,6 +65,8 @@
 			time.AfterFunc(killAfterShutdown, func() { process.cmd.Process.Kill() })
 		})
 	}
+	halfTime := time.AfterFunc(s.duration/2, func() { t.Logf("resident at half time: %d kB", process.residentMemory()) })
+	defer halfTime.Stop()
 	results := app.run(s.duration)
 	results.check(t)
 	if s.shutdown > 0 {
@@ -170,6 +173,9 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := drawScenario(seed)
+			if *duration > 0 {
+				s.duration, s.shutdown = *duration, 0
+			}
 			t.Logf("%+v", s)
 			s.run(t)
 		})
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -132,18 +132,30 @@
 	}
 }
 
-var residentPeak = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+var (
+	residentPeak = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+	residentNow  = regexp.MustCompile(`VmRSS:\s+(\d+) kB`)
+)
+
+// residentMemory returns the resident memory of the process in kB, or 0 if it has ended.
+func (s *sidecar) residentMemory() int { return s.readStatus(residentNow) }
+
+// readStatus returns a number of the process's status, or 0 if the process has ended.
+func (s *sidecar) readStatus(field *regexp.Regexp) int {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	match := field.FindSubmatch(raw)
+	if match == nil {
+		return 0
+	}
+	number, _ := strconv.Atoi(string(match[1]))
+	return number
+}
 
 // watchMemory follows the largest resident memory of the process and kills the process above its limit, as the platform
 // does.
 func (s *sidecar) watchMemory() {
 	for ticker := time.NewTicker(10 * time.Millisecond); s.alive(); <-ticker.C {
-		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
-		match := residentPeak.FindSubmatch(raw)
-		if match == nil {
-			continue
-		}
-		kB, _ := strconv.Atoi(string(match[1]))
+		kB := s.readStatus(residentPeak)
 		s.mu.Lock()
 		s.peakKB = max(s.peakKB, kB)
 		s.mu.Unlock()
@@ -176,7 +188,7 @@
 func (s *sidecar) checkHealthyProcess() {
 	s.t.Helper()
 	peak, limit := s.peakMemory(), s.limits.memoryMB<<10
-	s.t.Logf("peak memory: %d of %d kB", peak, limit)
+	s.t.Logf("peak memory: %d of %d kB, resident now: %d kB", peak, limit, s.residentMemory())
 	if !s.alive() || peak > limit {
 		s.t.Errorf("process alive: %v, peak memory %d kB of %d kB", s.alive(), peak, limit)
 	}
