Disconnect the client that sent the most ahead when memory is short

Read in a review of the server for clients: a proper client whose few bytes of a further request found no memory lost the request in flight, while clients that had sent 64 KiB ahead kept theirs. The one that holds the most, above 16 KiB, gives way now. A message whose start was read ahead also had its time for the head counted from then, and could get 400 at once after a long response; its time counts from its turn.

--- a/internal/downstream/arrivals.go
+++ b/internal/downstream/arrivals.go
@@ -28,6 +28,9 @@
 
 // take returns when the last byte arrived that is not among the remaining ones, and forgets earlier arrivals.
 func (a *arrivals) take(remaining int) time.Time {
+	if len(a.marks) == 0 {
+		return time.Now()
+	}
 	end := a.received - remaining
 	for len(a.marks) > 1 && a.marks[0].received < end {
 		a.marks = a.marks[1:]
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -18,6 +18,9 @@
 	// answered. Clients send one request at a time, and the largest request is smaller than this. A client that sends
 	// more counts as disconnected, because its disconnect could not be noticed behind unread data.
 	maxReadAhead = 2 * upstream.MaxBodySize
+	// fairReadAhead is how many bytes of read-ahead a connection may keep when memory is short. A client that has sent
+	// more then counts as disconnected.
+	fairReadAhead = 16 << 10
 	// readAheadBufferSize is the size in bytes of the buffer for reads between messages and while a message is
 	// processed. It holds a usual head.
 	readAheadBufferSize = 1 << 10
@@ -45,6 +48,8 @@
 
 	// unfinishedSince is when the client began the message that has not arrived whole, in Unix nanoseconds, or 0.
 	unfinishedSince atomic.Int64
+	// reserved is how many bytes of the budget the parser's buffer uses. It changes only with mu held.
+	reserved atomic.Int64
 
 	readAhead [readAheadBufferSize]byte // used by the reader only
 
@@ -53,7 +58,6 @@
 	parser     parser
 	pending    *work     // the message whose body is arriving; nil while a head arrives
 	arrivals   arrivals  // when the bytes in the parser have arrived
-	reserved   int64     // bytes of the budget that the parser's buffer uses
 	processing bool      // a goroutine processes messages
 	inFlight   bool      // the event loop serves a request
 	gone       bool      // the client has disconnected, or the connection is closed
@@ -155,7 +159,7 @@
 // bytes were stored. The caller holds mu, which store releases for a while.
 func (c *conn) store(p []byte) bool {
 	size := c.parser.sizeFor(len(p))
-	if more := int64(size) - c.reserved; more > 0 {
+	if more := int64(size) - c.reserved.Load(); more > 0 {
 		c.mu.Unlock()
 		reserved := c.server.reserve(budget.Unfinished, more)
 		c.mu.Lock()
@@ -163,7 +167,7 @@
 			c.handleNoMemory()
 			return false
 		}
-		c.reserved += more
+		c.reserved.Add(more)
 	}
 	if c.gone || c.ending || c.rejection != nil {
 		c.dropBuffer()
@@ -257,7 +261,7 @@
 func (c *conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.processing || c.gone || c.ending || c.rejection != nil || c.reserved == 0 {
+	if c.processing || c.gone || c.ending || c.rejection != nil || c.reserved.Load() == 0 {
 		return false
 	}
 	c.reject(errNoMemory)
@@ -265,6 +269,17 @@
 	return true
 }
 
+// evictReadAhead ends the connection if its client has sent much ahead of a response. It reports whether it has.
+func (c *conn) evictReadAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inFlight || c.gone || c.reserved.Load() <= fairReadAhead {
+		return false
+	}
+	c.disconnect()
+	return true
+}
+
 // disconnect takes note that the client has gone: its request is canceled, nothing else of it is served, and the
 // connection is closed. The caller holds mu.
 func (c *conn) disconnect() {
@@ -284,8 +299,7 @@
 	c.parser.drop()
 	c.pending, c.arrivals = nil, arrivals{}
 	c.unfinishedSince.Store(0)
-	c.server.memory.Release(budget.Unfinished, c.reserved)
-	c.reserved = 0
+	c.server.memory.Release(budget.Unfinished, c.reserved.Swap(0))
 }
 
 // close ends the connection.
--- a/internal/downstream/conn_table.go
+++ b/internal/downstream/conn_table.go
@@ -85,6 +85,22 @@
 	return false
 }
 
+// evictReadAhead disconnects the client that has sent the most ahead of a response, if that is much. It reports whether
+// there was one.
+func (t *connTable) evictReadAhead() bool {
+	conns := t.all()
+	slices.SortFunc(conns, func(a, b *conn) int { return cmp.Compare(b.reserved.Load(), a.reserved.Load()) })
+	for _, c := range conns {
+		if c.reserved.Load() <= fairReadAhead {
+			return false
+		}
+		if c.evictReadAhead() {
+			return true
+		}
+	}
+	return false
+}
+
 // unfinished returns the connections with a message that has not arrived whole, the longest first.
 func (t *connTable) unfinished() []*conn {
 	var conns []*conn
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -91,6 +91,7 @@
 	case drainMode(c.server.drainMode.Load()) == drainUnfinished:
 		c.reject(errShutdown)
 	default:
+		c.headAt = c.idleAt // what was read ahead waited for this moment
 		c.unfinishedSince.CompareAndSwap(0, c.idleAt.UnixNano())
 	}
 	c.SetReadDeadline(c.readDeadline())
@@ -170,8 +171,7 @@
 		return nil
 	}
 	rest := int64(cap(c.parser.buffer))
-	held := c.reserved - rest
-	c.reserved = rest
+	held := c.reserved.Swap(rest) - rest
 	return c.server.memory.Move(budget.Unfinished, budget.Requests, held)
 }
 
--- a/internal/downstream/read_ahead_test.go
+++ b/internal/downstream/read_ahead_test.go
@@ -152,3 +152,37 @@
 		t.Errorf("the endpoint was told %v ms, error %v, want at most %v ms", timeout, err, most)
 	}
 }
+
+// Guards against a proper client that loses its request because others have filled the memory with what they sent ahead
+// of their responses, and against a timeout of a message whose start was read long before its turn.
+func TestGreedyClientsGiveWayWhenMemoryIsShort(t *testing.T) {
+	stub := newHoldingStub(t, "")
+	h := newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
+		s.memory = budget.NewMemory(200 << 10) // of which 80 KiB are for messages that have not arrived whole
+		s.timeouts.head = 300 * time.Millisecond
+	})
+	proper, reader := h.connect()
+	next := idempotentRequest("next")
+	io.WriteString(proper, idempotentRequest("proper")+next[:40])
+	nettest.Receive(t, stub.received)
+	var greedy []net.Conn
+	for i := range 3 {
+		c, _ := h.connect()
+		io.WriteString(c, idempotentRequest(fmt.Sprint("greedy", i)))
+		nettest.Receive(t, stub.received)
+		io.WriteString(c, strings.Repeat("x", 40<<10))
+		greedy = append(greedy, c)
+	}
+	nettest.Eventually(t, "all but one of the greedy clients are disconnected", func() bool {
+		return h.stats().ClientsCanceled == len(greedy)-1
+	})
+	time.Sleep(h.server.timeouts.head) // the time that passes is what the test is about
+	close(stub.release)
+	if resp, body := h.readResponse(reader); resp.StatusCode != 200 || body != "hi" {
+		t.Errorf("status %d, body %q, want 200 and hi", resp.StatusCode, body)
+	}
+	io.WriteString(proper, next[40:])
+	if resp, body := h.readResponse(reader); resp.StatusCode != 200 || body != "hi" {
+		t.Errorf("request whose start was read ahead: status %d, body %q, want 200 and hi", resp.StatusCode, body)
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -164,10 +164,11 @@
 func (s *Server) healthy() bool { return s.loop.Ready() && !s.draining() }
 
 // reserve reserves memory. If there is no room, the messages that have not arrived whole for the longest time are
-// rejected. It reports whether the memory is reserved.
+// rejected, and then the clients disconnected that have sent the most ahead of a response. It reports whether the memory
+// is reserved.
 func (s *Server) reserve(part budget.Part, bytes int64) bool {
 	for !s.memory.TryReserve(part, bytes) {
-		if !s.table.evictLongest() {
+		if !s.table.evictLongest() && !s.table.evictReadAhead() {
 			return false
 		}
 		s.stats.evicted.Add(1)
