Keep a fifth of the memory budget free of connections and unfinished messages

Beside 600 unfinished bodies at 32 MB callers got 28 and 17 refusals of 241 requests, after attempts that timed out. Connections and unfinished messages together have 0.8 of the budget now; what exceeds it gives way as before.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -66,3 +66,22 @@
 		t.Errorf("wait %v, want %v", wait, interval)
 	}
 }
+
+// Guards against connections and unfinished messages that together leave nothing for requests and their responses, in
+// whatever order they come.
+func TestClientsLeaveMemoryForAnswers(t *testing.T) {
+	const capacity, step, answers = 1000, 10, 200
+	for name, order := range map[string][]Part{
+		"connections first":         {Connections, Unfinished},
+		"unfinished messages first": {Unfinished, Connections},
+	} {
+		m := NewMemory(capacity)
+		for _, part := range order {
+			for m.TryReserve(part, step) {
+			}
+		}
+		if !m.TryReserve(Responses, answers) {
+			t.Errorf("%s: %+v, want room for responses of %d bytes", name, m.Usage(), answers)
+		}
+	}
+}
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -24,9 +24,11 @@
 	return [PartCount]string{"connections", "unfinished", "requests", "responses"}[p]
 }
 
-// unfinishedFraction is the fraction of the budget that unfinished messages may use, so that accepted requests and
-// their responses always find room.
-const unfinishedFraction = 0.4
+// The following are fractions of the budget. They keep room for accepted requests and their responses.
+const (
+	unfinishedFraction = 0.4 // for unfinished messages
+	clientFraction     = 0.8 // for connections and unfinished messages together
+)
 
 // Memory is a budget of bytes. Its methods may be called from any goroutine.
 type Memory struct {
@@ -110,12 +112,21 @@
 	if m.capacity == 0 || bytes <= 0 {
 		return true
 	}
-	if part == Unfinished && float64(m.used[Unfinished]+bytes) > unfinishedFraction*float64(m.capacity) {
+	if part == Unfinished && m.exceeds(m.used[Unfinished]+bytes, unfinishedFraction) {
+		return false
+	}
+	isClients := part == Connections || part == Unfinished
+	if isClients && m.exceeds(m.used[Connections]+m.used[Unfinished]+bytes, clientFraction) {
 		return false
 	}
 	return m.total+bytes <= m.capacity
 }
 
+// exceeds reports whether a number of bytes is more than a fraction of the budget.
+func (m *Memory) exceeds(bytes int64, fraction float64) bool {
+	return float64(bytes) > fraction*float64(m.capacity)
+}
+
 // add changes the use of a part. The caller holds mu.
 func (m *Memory) add(part Part, bytes int64) {
 	m.used[part] += bytes
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -255,3 +255,12 @@
 		})
 	}
 }
+
+// Guards against answers that wait for memory which as many clients as there are descriptors for hold with unfinished
+// requests.
+func TestCrowdOnAllDescriptorsLeavesMemoryForAnswers(t *testing.T) {
+	scenario{
+		limits: leastLimits, rate: 60, bodySize: 64 << 10, duration: 4 * time.Second,
+		peers: []hostilePeers{{Kind: unfinishedBodies, Connections: 600}},
+	}.run(t)
+}
