--- /dev/null
+++ b/internal/faulttest/cancel_test.go
@@ -0,0 +1,32 @@
+package faulttest
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against clients that leave and thereby make a fleet with hanging servers look full, so that the application's
+// requests are refused although the other servers could serve them.
+func TestLeavingClientsDoNotMakeTheFleetLookFull(t *testing.T) {
+	for _, kind := range []string{floodRequests, floodLeavers, soundLeavers} {
+		t.Run(kind, func(t *testing.T) {
+			scenario{
+				limits: leastLimits, rate: 60, bodySize: 200, duration: 8 * time.Second, mostServed: true,
+				faulty: map[int]string{0: serverHangs, 3: serverHangs, 6: serverHangs},
+				peers:  []hostilePeers{{Kind: kind, Connections: 4}},
+			}.run(t)
+		})
+	}
+}
+
+// Guards against late and lost answers of the application beside a crowd of clients with sound requests.
+func TestSoundCrowdsDoNotDelayTheApplication(t *testing.T) {
+	for _, kind := range soundKinds {
+		t.Run(kind, func(t *testing.T) {
+			scenario{
+				limits: leastLimits, rate: 60, bodySize: 200, duration: 4 * time.Second,
+				peers: []hostilePeers{{Kind: kind, Connections: 300}},
+			}.run(t)
+		})
+	}
+}
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -37,6 +37,8 @@
 	duration time.Duration
 	shutdown time.Duration // when SIGTERM comes, SIGKILL being its earliest time behind; 0 for no shutdown
 	seed     uint64
+
+	mostServed bool // 95 in 100 requests have to be served although pick servers are faulty
 }
 
 // killAfterShutdown is the earliest time from SIGTERM to SIGKILL: the longest deadline of sidecarSettings and 0.7 s.
@@ -73,7 +75,7 @@
 		process.checkShutdown()
 		return
 	}
-	if len(s.faulty) == 0 {
+	if len(s.faulty) == 0 || s.mostServed {
 		results.checkServed(t)
 	}
 	process.checkHealthyProcess()
--- a/internal/faulttest/peers_test.go
+++ b/internal/faulttest/peers_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +34,11 @@
 	floodConnects    = "flood of connections"
 	floodRequests    = "flood of requests sent ahead"
 	floodLeavers     = "flood of clients that leave"
+	soundBodies      = "sound requests with large bodies, answers read"
+	soundUnread      = "sound requests with 1 ms left, answers unread"
+	soundShort       = "sound requests with 1 ms left, answers read"
+	soundRequests    = "sound requests, answers read"
+	soundLeavers     = "sound requests, clients leave after some ms"
 )
 
 var crowdKinds = []string{unfinishedHeads, unfinishedLong, unfinishedBodies, slowBodies, silentPeers}
@@ -40,6 +47,9 @@
 	floodManyFields, floodUnsound, floodHealth, floodNewNames, floodConnects, floodRequests, floodLeavers,
 }
 
+// soundKinds send sound requests, one at a time on a connection but for soundUnread, without pause.
+var soundKinds = []string{soundBodies, soundUnread, soundShort, soundRequests, soundLeavers}
+
 // hostilePeers is a number of connections that all misbehave in the same way until their process ends.
 type hostilePeers struct {
 	Kind        string
@@ -102,6 +112,10 @@
 		c.Close()
 		return
 	}
+	if slices.Contains(soundKinds, p.Kind) {
+		p.sendSound(c, random)
+		return
+	}
 	closed := make(chan struct{})
 	go func() {
 		io.Copy(io.Discard, c)
@@ -162,6 +176,51 @@
 	}
 }
 
+// unreadPause is the pause of soundUnread between two requests, and leaveAfter the longest time after which a client of
+// soundLeavers leaves.
+const (
+	unreadPause = 5 * time.Millisecond
+	leaveAfter  = 30 * time.Millisecond
+)
+
+// sendSound sends sound requests until the connection ends.
+func (p *hostilePeers) sendSound(c net.Conn, random *rand.Rand) {
+	for in := bufio.NewReader(c); ; {
+		if _, err := io.WriteString(c, p.soundRequest(random)); err != nil {
+			return
+		}
+		switch p.Kind {
+		case soundUnread:
+			time.Sleep(unreadPause)
+			continue
+		case soundLeavers:
+			time.Sleep(time.Duration(random.Int64N(int64(leaveAfter))))
+			return
+		}
+		answer, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			return
+		}
+	}
+}
+
+// soundRequest returns one sound request.
+func (p *hostilePeers) soundRequest(random *rand.Rand) string {
+	fields := fmt.Sprintf("Host: x\r\nX-Trace-Id: c%016x\r\n", random.Uint64())
+	switch p.Kind {
+	case soundBodies:
+		return fmt.Sprintf("POST /once HTTP/1.1\r\nX-Qos: once\r\nX-Expires-In: 2000m\r\n%sContent-Length: 60000\r\n\r\n%s",
+			fields, strings.Repeat("x", 60_000))
+	case soundShort, soundUnread:
+		return "GET /look HTTP/1.1\r\nX-Qos: look\r\nX-Expires-In: 1m\r\n" + fields + "\r\n"
+	default:
+		return "GET /look HTTP/1.1\r\nX-Qos: look\r\nX-Expires-In: 1000m\r\n" + fields + "\r\n"
+	}
+}
+
 // postHead returns the head of a proper request with a body of 64 KiB.
 func postHead(random *rand.Rand) string {
 	return fmt.Sprintf("POST /once HTTP/1.1\r\nHost: x\r\nX-Trace-Id: p%016x\r\nX-Qos: once\r\nX-Expires-In: 2000m\r\n"+
--- a/internal/faulttest/shutdown_test.go
+++ b/internal/faulttest/shutdown_test.go
@@ -26,7 +26,7 @@
 	settings := regexp.MustCompile(`"hard_limit_ms": \d+`).ReplaceAllString(sidecarSettings,
 		fmt.Sprintf(`"hard_limit_ms": %d`, deadline.Milliseconds()))
 	servers, _ := startPickServers(t, pickServerCount, pickServiceTime, 0)
-	process := startSidecarWithSettings(t, servers, leastLimits, settings)
+	process := startSidecarWith(t, servers, sidecarOptions{limits: leastLimits, settings: settings})
 	process.cmd.Process.Signal(syscall.SIGTERM)
 	terminated := time.Now()
 	time.Sleep(partsAt)
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,44 +52,65 @@
 	addr   string
 	limits limits
 	cmd    *exec.Cmd
-	log    bytes.Buffer
+	log    bytes.Buffer  // what the process has written, unless its standard error is given
 	ended  chan struct{} // closed when the process has ended
+	killed atomic.Bool   // whether the rig has killed the process
 
 	delays    *runDelays // of the process
 	ownDelays *runDelays // of this process, which the clients run in
 
-	mu     sync.Mutex
-	peakKB int    // the largest resident memory seen
-	stalls []span // when throttle held the process up for longer than its share of a core says
+	mu         sync.Mutex
+	peakKB     int          // the largest resident memory seen
+	withSocket memoryAtPeak // the largest resident memory together with the buffers of sockets
+	stalls     []span       // when throttle held the process up for longer than its share of a core says
 }
 
 // span is a span of time.
 type span struct{ from, to time.Time }
 
+// sidecarOptions say how a sidecar process is started.
+type sidecarOptions struct {
+	limits        limits
+	settings      string   // the settings object; sidecarSettings if empty
+	addr          string   // address for clients; a free one if empty
+	gossip        string   // members of the configuration file for gossip, with a comma at the end; may be empty
+	standardError *os.File // nil to collect it in sidecar.log
+	discovery     string   // address of discovery; a stand-in of its own if empty
+}
+
 // startSidecar starts a sidecar with the given pick servers and limits and waits until it is ready.
 func startSidecar(t *testing.T, servers []*pickServer, l limits) *sidecar {
 	t.Helper()
-	return startSidecarWithSettings(t, servers, l, sidecarSettings)
+	return startSidecarWith(t, servers, sidecarOptions{limits: l})
 }
 
-// startSidecarWithSettings is startSidecar with another settings object.
-func startSidecarWithSettings(t *testing.T, servers []*pickServer, l limits, settings string) *sidecar {
+// startSidecarWith starts a sidecar with the given pick servers and options and waits until it is ready.
+func startSidecarWith(t *testing.T, servers []*pickServer, options sidecarOptions) *sidecar {
 	t.Helper()
-	var instances []string
-	for i, s := range servers {
-		instances = append(instances, nettest.InstanceJSON(fmt.Sprintf("s-%d", i), s.addr, "up"))
+	s := newSidecar(t, servers, options)
+	s.start()
+	nettest.Eventually(t, "the sidecar is ready", s.healthy)
+	return s
+}
+
+// newSidecar returns a sidecar process that is not started yet.
+func newSidecar(t *testing.T, servers []*pickServer, options sidecarOptions) *sidecar {
+	t.Helper()
+	catalog := catalogOf(servers)
+	if options.discovery == "" {
+		options.discovery = startDiscovery(t, catalog)
 	}
-	catalog := nettest.CatalogJSON(40, true, instances...)
-	discovery := startDiscovery(t, catalog)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if options.settings == "" {
+		options.settings = sidecarSettings
 	}
-	s := &sidecar{t: t, addr: listener.Addr().String(), limits: l, ended: make(chan struct{})}
-	listener.Close()
-	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964",
+	if options.addr == "" {
+		options.addr = freeAddress(t)
+	}
+	l := options.limits
+	s := &sidecar{t: t, addr: options.addr, limits: l, ended: make(chan struct{})}
+	config := fmt.Sprintf(`{"name": "n0", "listen": %q, "discovery": %q, "seed": "8c1f30d27a5be964", %s
 		"limits": {"cores": %g, "memory_mb": %d, "sockets": %d}, "known": %s, "settings": %s}`,
-		s.addr, discovery, l.cores, l.memoryMB, l.sockets, catalog, settings)
+		s.addr, options.discovery, options.gossip, l.cores, l.memoryMB, l.sockets, catalog, options.settings)
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
@@ -96,27 +118,61 @@
 	s.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, l.sockets), sidecarBinary)
 	s.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	s.cmd.Stderr = &s.log
-	if err := s.cmd.Start(); err != nil {
+	if options.standardError != nil {
+		s.cmd.Stderr = options.standardError
+	}
+	return s
+}
+
+// catalogOf returns the endpoint list with the given pick servers.
+func catalogOf(servers []*pickServer) string {
+	var instances []string
+	for i, s := range servers {
+		instances = append(instances, nettest.InstanceJSON(fmt.Sprintf("s-%d", i), s.addr, "up"))
+	}
+	return nettest.CatalogJSON(40, true, instances...)
+}
+
+// freeAddress returns an address of the loopback interface at which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start starts the process. It is killed at the end of the test.
+func (s *sidecar) start() {
+	s.t.Helper()
+	if err := s.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
 	go func() {
 		s.cmd.Wait()
 		close(s.ended)
 	}()
 	s.delays, s.ownDelays = &runDelays{pid: s.cmd.Process.Pid}, &runDelays{pid: os.Getpid()}
 	go s.watch()
-	if l.cores < 1 {
-		go s.throttle(l.cores)
+	go s.watchSocketMemory()
+	if s.limits.cores < 1 {
+		go s.throttle(s.limits.cores)
 	}
-	t.Cleanup(func() {
-		s.cmd.Process.Kill()
-		<-s.ended
-		if t.Failed() {
-			t.Logf("log of the sidecar, its end:\n%s", tail(s.log.String(), 4000))
+	s.t.Cleanup(func() {
+		s.kill()
+		if s.t.Failed() {
+			s.t.Logf("log of the sidecar, its end:\n%s", tail(s.log.String(), 4000))
 		}
 	})
-	nettest.Eventually(t, "the sidecar is ready", s.healthy)
-	return s
+}
+
+// kill ends the process with SIGKILL and waits for its end.
+func (s *sidecar) kill() {
+	s.killed.Store(true)
+	s.cmd.Process.Kill()
+	<-s.ended
 }
 
 // healthy reports whether the sidecar's health endpoint answers 200.
@@ -227,6 +283,7 @@
 	if !s.alive() || peak > limit {
 		s.t.Errorf("process alive: %v, peak memory %d kB of %d kB", s.alive(), peak, limit)
 	}
+	s.checkSocketMemory()
 }
 
 // checkShutdown checks that the process ends by itself, and has stayed within its memory.
@@ -238,6 +295,7 @@
 	if state := s.cmd.ProcessState; !state.Success() || peak > limit {
 		s.t.Errorf("the process ended with %v and peak memory %d kB of %d kB", state, peak, limit)
 	}
+	s.checkSocketMemory()
 }
 
 // tail returns the last n bytes of a text.
