Write the log in the background, and ignore signals of its reader

Callers lost 119 of 121 requests after the reader of standard error had closed it, as the next log line ended the process by SIGPIPE, and 359 of 361 when the reader stopped reading: the event loop wrote log lines itself and stood still in the write once the pipe was full. After SIGTERM such a process did not end.

Cause: the life of the process and the running of its event loop depended on somebody outside who is no peer.

boundedlog.Writer writes in a goroutine of its own, from a queue of 128 lines and 16 KiB. What has no room, or cannot be written, is lost and counted, and the next line that can be written is followed by one that says how many (lost_lines). A line is cut after 2 KiB, as clients choose trace IDs. At its end the process waits 0.2 s for the writer. SIGPIPE, SIGXFSZ, SIGXCPU, SIGTTIN and SIGTTOU are ignored; SIGTTIN stopped the process before. The log names each signal and the reason of the end.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -6,13 +6,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
+	"time"
 
 	"pebblelift/internal/boundedlog"
 	"pebblelift/internal/clock"
@@ -25,33 +26,34 @@
 // configVariable names the environment variable that holds the path of the configuration file.
 const configVariable = "LB_CONFIG"
 
+// logCloseTimeout is how long the process waits at its end for the reader of its log.
+const logCloseTimeout = 200 * time.Millisecond
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "sidecar:", err)
+	signal.Ignore(ignoredSignals...)
+	output := boundedlog.NewWriter(os.Stderr)
+	err := run(output)
+	if err != nil {
+		fmt.Fprintln(output, "sidecar:", err)
+	}
+	output.Close(logCloseTimeout)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-// run runs the sidecar until it is told to shut down.
-func run() error {
-	// The signal handlers stay registered, because a signal that arrives during the shutdown must not kill the process.
-	shutdownCtx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+// run runs the sidecar until it is told to shut down. It writes its log to output.
+func run(output io.Writer) error {
+	received := receiveSignals()
 	cfg, err := readConfig()
 	if err != nil {
 		return err
 	}
 	applyRuntimeLimits(cfg.Limits)
-	log := slog.New(boundedlog.New(slog.NewTextHandler(os.Stderr, nil)))
-	var listener net.Listener
-	listenConfig := net.ListenConfig{KeepAlive: -1} // no TCP keep-alive, as all waits for clients have deadlines
-	err = transient.Listen(func() (err error) {
-		listener, err = listenConfig.Listen(context.Background(), "tcp", cfg.Listen)
-		return err
-	})
+	log := slog.New(boundedlog.New(slog.NewTextHandler(output, nil)))
+	listener, err := listen(cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+		return err
 	}
 	loop := sidecar.NewLoop(clock.New(), &cfg, log)
 	if err := loop.OpenGossip(); err != nil {
@@ -60,16 +62,31 @@
 	}
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
+	shutdownCtx, shutdown := context.WithCancelCause(context.Background())
+	handler := &signalHandler{log: log, shutdown: shutdown, reload: func() error { return reload(loop) }}
 	go loop.Run(loopCtx)
-	go reloadOnHangup(loopCtx, hangup, loop, log)
+	go handler.run(loopCtx, received)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	if err := downstream.NewServer(loop, log).Serve(shutdownCtx, listener); err != nil {
 		return err
 	}
-	log.Info("stopped")
+	log.Info("stopped", "reason", context.Cause(shutdownCtx))
 	return nil
 }
 
+// listen opens the listener for clients.
+func listen(addr string) (listener net.Listener, err error) {
+	listenConfig := net.ListenConfig{KeepAlive: -1} // no TCP keep-alive, as all waits for clients have deadlines
+	err = transient.Listen(func() (err error) {
+		listener, err = listenConfig.Listen(context.Background(), "tcp", addr)
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("listening for clients: %w", err)
+	}
+	return listener, nil
+}
+
 // applyRuntimeLimits limits the processors and the memory that the Go runtime uses, as the configuration says.
 func applyRuntimeLimits(limits config.Limits) {
 	runtime.GOMAXPROCS(limits.Processors())
@@ -87,20 +104,12 @@
 	return config.Parse(raw)
 }
 
-// reloadOnHangup reads the configuration file at each SIGHUP and applies its address of discovery, until ctx ends. If
-// the file cannot be read or is invalid, the current address stays in use.
-func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, loop *sidecar.Loop, log *slog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
-		cfg, err := readConfig()
-		if err != nil {
-			log.Error("configuration could not be read after SIGHUP, keeping the current one", "err", err)
-			continue
-		}
-		loop.SetDiscovery(cfg.Discovery)
+// reload reads the configuration file and applies its address of discovery.
+func reload(loop *sidecar.Loop) error {
+	cfg, err := readConfig()
+	if err != nil {
+		return err
 	}
+	loop.SetDiscovery(cfg.Discovery)
+	return nil
 }
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	servers, _ := startPickServers(t, pickServerCount, pickServiceTime, s.bodySize)
 	for i, fault := range s.faulty {
-		servers[i].fault = fault
+		servers[i].setFault(fault)
 	}
 	process := startSidecar(t, servers, s.limits)
 	app := &application{
--- a/internal/faulttest/log_reader_test.go
+++ b/internal/faulttest/log_reader_test.go
@@ -15,9 +15,10 @@
 // pipeLog is a sidecar whose standard error is a pipe of the test.
 type pipeLog struct {
 	*sidecar
-	app    *application
-	reader *os.File
-	writer *os.File
+	servers []*pickServer
+	app     *application
+	reader  *os.File
+	writer  *os.File
 }
 
 // startPipeLog starts a sidecar with a pick server that fails, so that there is something to log, and its application.
@@ -32,10 +33,10 @@
 		writer.Close()
 	})
 	servers, _ := startPickServers(t, pickServerCount, pickServiceTime, 200)
-	servers[0].fault = serverFails
+	servers[0].setFault(serverFails)
 	process := startSidecarWith(t, servers, sidecarOptions{limits: leastLimits, standardError: writer})
 	app := &application{addr: process.addr, process: process, rate: 60, random: rand.New(rand.NewPCG(1, 0))}
-	return &pipeLog{sidecar: process, app: app, reader: reader, writer: writer}
+	return &pipeLog{sidecar: process, servers: servers, app: app, reader: reader, writer: writer}
 }
 
 // fill fills the pipe, so that the next write of the sidecar finds no room. It ends when the pipe has a reader again.
@@ -84,6 +85,10 @@
 	results.check(t)
 	results.checkServed(t)
 	p.checkHealthyProcess()
+	for _, server := range p.servers {
+		server.setFault(serverFails)
+	}
+	p.app.run(3 * time.Second) // many lines
 	lines := make(chan string, 1)
 	go func() {
 		for in := bufio.NewScanner(p.reader); in.Scan(); {
--- a/internal/faulttest/servers_test.go
+++ b/internal/faulttest/servers_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,9 +21,12 @@
 	runs     *runRecord
 	service  time.Duration // how long a request takes
 	bodySize int           // size of an answer's body in bytes
-	fault    string        // one of serverFaults, or empty
+	fault    atomic.Value  // one of serverFaults, or the empty string
 }
 
+// setFault sets the fault of the server: one of serverFaults, or the empty string.
+func (s *pickServer) setFault(fault string) { s.fault.Store(fault) }
+
 // The faults of pick servers.
 const (
 	serverHangs       = "hangs"
@@ -66,6 +70,7 @@
 		}
 		t.Cleanup(func() { ln.Close() })
 		s := &pickServer{addr: ln.Addr().String(), runs: record, service: service, bodySize: bodySize}
+		s.setFault("")
 		servers = append(servers, s)
 		go s.accept(ln)
 	}
@@ -98,8 +103,8 @@
 			s.runs.add(id)
 			time.Sleep(s.service)
 		}
-		if s.fault != "" {
-			s.misbehave(c)
+		if fault := s.fault.Load().(string); fault != "" {
+			misbehave(c, fault)
 			return
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
@@ -109,9 +114,9 @@
 	}
 }
 
-// misbehave answers a request in the way of the server's fault, or not at all, and returns when the connection ends.
-func (s *pickServer) misbehave(c net.Conn) {
-	switch s.fault {
+// misbehave answers a request in the way of a server's fault, or not at all, and returns when the connection ends.
+func misbehave(c net.Conn, fault string) {
+	switch fault {
 	case serverHangs:
 		io.Copy(io.Discard, c)
 	case serverFails:
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -115,7 +116,7 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, l.sockets), sidecarBinary)
+	s.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && %s", l.sockets, runCommand(t)), sidecarBinary)
 	s.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	s.cmd.Stderr = &s.log
 	if options.standardError != nil {
@@ -124,6 +125,20 @@
 	return s
 }
 
+// runCommand returns the command of deploy/balancer.toml that starts a sidecar, with the binary as its first argument.
+func runCommand(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	match := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(raw)
+	if match == nil || !strings.Contains(string(match[1]), "bin/sidecar") {
+		t.Fatal("deploy/balancer.toml has no command that runs bin/sidecar")
+	}
+	return strings.Replace(string(match[1]), "bin/sidecar", `"$0"`, 1)
+}
+
 // catalogOf returns the endpoint list with the given pick servers.
 func catalogOf(servers []*pickServer) string {
 	var instances []string
--- a/internal/faulttest/signals_test.go
+++ b/internal/faulttest/signals_test.go
@@ -70,7 +70,7 @@
 	}
 	defer log.Close()
 	servers, _ := startPickServers(t, pickServerCount, pickServiceTime, 0)
-	servers[0].fault = serverFails
+	servers[0].setFault(serverFails)
 	process := newSidecar(t, servers, sidecarOptions{limits: leastLimits, standardError: log})
 	process.cmd.Args[2] = "ulimit -f 1 && " + process.cmd.Args[2]
 	process.start()
