--- a/cmd/sidecar/signals.go
+++ b/cmd/sidecar/signals.go
@@ -73,7 +73,7 @@
 func (h *signalHandler) scheduleReload() {
 	h.triesLeft = maxReloadTries
 	if h.due == nil {
-		h.due = time.After(0)
+		h.due = time.After(time.Until(h.lastReload.Add(reloadInterval)))
 	}
 }
 
