Limit the kernel's buffers of all connections by the memory limit

Cause: no socket had a limit, and the kernel lets the buffers of one grow to 32 MB; the budget of bytes begins only where the process reads.

config.Limits.SocketBufferBytes derives the size of a buffer from the memory and the descriptors (4 KiB at 32 MB and 1,024 descriptors, 64 KiB at the most). The listener has it, so that connections have it before they are accepted, and so have the connections to endpoints; those to discovery have 64 KiB. Related paths: the socket for gossip has the system's limit (208 KiB), which no peer can raise.

One sample of the test showed 4 GB: the kernel states a reserve below zero for a moment, which is read as such now.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -20,6 +20,7 @@
 	"pebblelift/internal/config"
 	"pebblelift/internal/downstream"
 	"pebblelift/internal/sidecar"
+	"pebblelift/internal/sockopt"
 	"pebblelift/internal/transient"
 )
 
@@ -51,7 +52,7 @@
 	}
 	applyRuntimeLimits(cfg.Limits)
 	log := slog.New(boundedlog.New(slog.NewTextHandler(output, nil)))
-	listener, err := listen(cfg.Listen)
+	listener, err := listen(&cfg)
 	if err != nil {
 		return err
 	}
@@ -75,10 +76,13 @@
 }
 
 // listen opens the listener for clients.
-func listen(addr string) (listener net.Listener, err error) {
-	listenConfig := net.ListenConfig{KeepAlive: -1} // no TCP keep-alive, as all waits for clients have deadlines
+func listen(cfg *config.Config) (listener net.Listener, err error) {
+	listenConfig := net.ListenConfig{
+		Control:   sockopt.LimitBuffers(cfg.Limits.SocketBufferBytes()),
+		KeepAlive: -1, // no TCP keep-alive, as all waits for clients have deadlines
+	}
 	err = transient.Listen(func() (err error) {
-		listener, err = listenConfig.Listen(context.Background(), "tcp", addr)
+		listener, err = listenConfig.Listen(context.Background(), "tcp", cfg.Listen)
 		return err
 	})
 	if err != nil {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -32,6 +32,15 @@
 	// bufferFraction is the fraction of the memory above restBytes that may be held for peers. The Go runtime needs as
 	// much again until it collects what is no longer used.
 	bufferFraction = 1.0 / 3
+	// socketFraction is the fraction of the memory limit that the kernel's buffers of sockets may take. A memory limit of
+	// the kernel counts them.
+	socketFraction = 1.0 / 6
+	// minSocketBuffer and maxSocketBuffer bound the size in bytes of a buffer of a socket. Small buffers cost processor
+	// time, larger ones bring nothing.
+	minSocketBuffer = 4 << 10
+	maxSocketBuffer = 64 << 10
+	// buffersPerConnection is how many buffers a connection has, each with as much again for the overhead of the kernel.
+	buffersPerConnection = 4
 	// executionLogEntriesPerMB and maxExecutionLogEntries bound the requests that are remembered because they must not
 	// run again. An entry takes some 50 bytes.
 	executionLogEntriesPerMB = 256
@@ -68,6 +77,16 @@
 	return max(minBufferBytes, int64(bufferFraction*available))
 }
 
+// SocketBufferBytes returns the size in bytes of each receive and send buffer of a connection, or 0 for no limit.
+func (l Limits) SocketBufferBytes() int {
+	if l.MemoryMB <= 0 || l.Sockets <= 0 {
+		return 0
+	}
+	connections := float64(l.DownstreamConnections() + l.UpstreamConnections())
+	buffer := socketFraction * float64(l.MemoryMB) * bytesPerMB / connections / buffersPerConnection
+	return int(min(max(buffer, minSocketBuffer), maxSocketBuffer))
+}
+
 // ExecutionLogEntries returns how many requests that may have run are remembered, so that they do not run again.
 func (l Limits) ExecutionLogEntries() int {
 	if l.MemoryMB <= 0 {
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"pebblelift/internal/sockopt"
 	"pebblelift/internal/transient"
 )
 
@@ -33,6 +34,9 @@
 	// if its watch stalled and missed the change, and the call that replaces the watch takes a part of the 6 s.
 	WatchStallTimeout = 2500 * time.Millisecond
 
+	// socketBuffer is the size in bytes of the buffers of a connection to discovery.
+	socketBuffer = 64 << 10
+
 	// maxMessageSize is the largest message of discovery that is accepted, in bytes.
 	maxMessageSize = 4 << 20
 )
@@ -46,7 +50,8 @@
 
 // NewClient returns a client of the discovery service at an address of the form host:port.
 func NewClient(addr string) *Client {
-	return NewClientWithDialer(addr, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: sockopt.LimitBuffers(socketBuffer)}
+	return NewClientWithDialer(addr, dialer.DialContext)
 }
 
 // NewClientWithDialer returns a client of the discovery service at an address, which uses dial to open connections.
--- a/internal/faulttest/socket_memory_test.go
+++ b/internal/faulttest/socket_memory_test.go
@@ -95,7 +95,7 @@
 		value := rest[syscall.SizeofRtAttr:attribute.Len]
 		if attribute.Type == memoryAttribute {
 			for _, position := range countedMemory {
-				s.bytes += int(binary.NativeEndian.Uint32(value[4*position:]))
+				s.bytes += int(int32(binary.NativeEndian.Uint32(value[4*position:]))) // reserved may be below 0 for a moment
 			}
 		}
 		rest = rest[min(len(rest), int(attribute.Len+syscall.NLMSG_ALIGNTO-1)&^(syscall.NLMSG_ALIGNTO-1)):]
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -10,6 +10,7 @@
 	"pebblelift/internal/clock"
 	"pebblelift/internal/config"
 	"pebblelift/internal/discovery"
+	"pebblelift/internal/sockopt"
 	"pebblelift/internal/upstream"
 )
 
@@ -79,6 +80,7 @@
 		ConnIdleTimeout: clock.Duration(c.Settings.ConnIdleTimeout),
 		DrainGrace:      c.Settings.Balancer.DrainGrace,
 		ReportFields:    c.Settings.ReportFields,
+		Control:         sockopt.LimitBuffers(c.Limits.SocketBufferBytes()),
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
+	"pebblelift/internal/sockopt"
 )
 
 const (
@@ -36,7 +36,7 @@
 	ReportFields    []string       // names of the values in Response.LoadReport, in order
 
 	// Control is called for each new socket before it connects, like net.Dialer.Control. It may be nil.
-	Control func(network, address string, c syscall.RawConn) error
+	Control sockopt.ControlFunc
 }
 
 // Pool holds the connections to all endpoints. Each connection carries one request at a time.
