Learn nothing from attempts that their client's deadline ends too early

Timed-out attempts of 1 ms also counted as latencies, which made the fleet look fast. So a client could teach the balancer that the fleet is dead, or that it has room.

An attempt that a deadline ends before half of the time after which it would be overdue tells nothing now.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -14,6 +14,10 @@
 	overdue     bool      // the attempt took too long and has been counted as an error of its endpoint
 }
 
+// minTellingFraction is the fraction of the time after which an attempt is overdue that it must have lasted
+// to tell something about its endpoint when its client's deadline ends it.
+const minTellingFraction = 0.5
+
 // noAttempt is an attempt number that no attempt has, as the attempts of a request are numbered from 0.
 // closeRequest passes noAttempt to cancelAttemptsExcept to cancel every attempt in flight.
 const noAttempt = -1
@@ -110,6 +114,9 @@
 // recordFailure records a failed attempt as an error of its endpoint, unless the attempt was counted when it
 // became overdue. A failed connection attempt is always recorded.
 func (b *Balancer) recordFailure(r *request, a *attempt, event AttemptResult) {
+	if event.endedEarly(r) {
+		return
+	}
 	if event.Result == TimedOut { // without timeouts the recorded latencies would lack the slowest attempts
 		b.recordLatency(event.Latency / r.class.LatencyObjective)
 	}
@@ -120,6 +127,13 @@
 	a.endpoint.outlier.recordConnectionFault(event.Result)
 }
 
+// endedEarly reports whether the attempt ended because of its client's deadline, before a usual response
+// could have come. It tells nothing about the endpoint and the load then, however often it happens.
+func (event *AttemptResult) endedEarly(r *request) bool {
+	byDeadline := event.Result == TimedOut || event.DeadlineReached
+	return byDeadline && event.Latency < minTellingFraction*r.overdueAfter()
+}
+
 // recordLatency records a latency, as a fraction of the latency objective, in the statistics of this sidecar
 // and of the whole fleet.
 func (b *Balancer) recordLatency(fraction float64) {
--- a/balance/event.go
+++ b/balance/event.go
@@ -181,6 +181,9 @@
 	Result Result
 	// Latency is the time in ms from the start of the attempt to its end.
 	Latency float64
+	// DeadlineReached reports whether the attempt ended only because the client waits no longer. It is
+	// implied by TimedOut.
+	DeadlineReached bool
 	// RequestClosed reports whether the request needs no response any more, because the request was answered
 	// or its client has disconnected.
 	RequestClosed bool
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -119,7 +119,8 @@
 	if a.deadlineTimer != nil {
 		d.timers.remove(a.deadlineTimer) // it would keep the request in memory until the deadline
 	}
-	if response.Result == balance.TimedOut && a.upstreamAttempt.ClaimStart() { // the request was never sent
+	deadlineReached := response.Result == balance.TimedOut
+	if deadlineReached && a.upstreamAttempt.ClaimStart() { // the request was never sent
 		response = upstream.Response{Result: balance.ConnectFailed, Err: errConnectTimeout}
 	}
 	r := a.request
@@ -134,13 +135,14 @@
 	d.stats.Attempts[response.Result]++
 	d.logAttempt(a, response, latency)
 	d.handle(balance.AttemptResult{
-		Request:       r.id,
-		Attempt:       a.number,
-		Endpoint:      a.endpointID,
-		Result:        response.Result,
-		Latency:       latency,
-		RequestClosed: r.closed,
-		LoadReport:    response.LoadReport,
+		Request:         r.id,
+		Attempt:         a.number,
+		Endpoint:        a.endpointID,
+		Result:          response.Result,
+		Latency:         latency,
+		DeadlineReached: deadlineReached,
+		RequestClosed:   r.closed,
+		LoadReport:      response.LoadReport,
 	})
 	d.removeIfDone(r)
 }
