Count the memory of an attempt until its goroutine has ended

Beside 300 clients with 1 ms left that do not read their answers, the resident memory passed 32 MB (32,972 kB; the rig ended the process) once other limits let more of their requests through. Cause: the memory of a request was released with its answer, but its attempt may still be opening or closing a connection; with deadlines of 1 ms, such attempts pile up uncounted.

An attempt has its part of the budget until its goroutine ends (8 of the 12 KiB of a request). New requests wait for it.

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -28,9 +28,8 @@
 	// endTimeout is how long after the drain timeout the process waits for clients to read their last responses.
 	endTimeout = 2 * time.Second
 
-	// requestCost is the memory in bytes that it takes to serve a request besides its body and its response: the
-	// goroutines and the connection of its attempt, and its entries in tables.
-	requestCost = 12 << 10
+	// requestCost is the memory in bytes that it takes to serve a request besides its body, its attempts and its response.
+	requestCost = 4 << 10
 	// unsoundInterval and unsoundBurst limit the responses to messages that are no requests, on all connections
 	// together: so many at once, then one in each interval. Further ones wait for up to maxHold, because their clients
 	// often connect anew as soon as they are answered.
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -6,9 +6,14 @@
 	"math"
 
 	"pebblelift/balance"
+	"pebblelift/internal/budget"
 	"pebblelift/internal/upstream"
 )
 
+// attemptCost is the memory in bytes that an attempt takes until its goroutine ends: the goroutines and buffers of its
+// connection, and its entries in tables.
+const attemptCost = 8 << 10
+
 var (
 	errClientDisconnected = errors.New("client disconnected before the attempt was sent")
 	errConnectTimeout     = errors.New("connection not established before the attempt's deadline")
@@ -53,7 +58,9 @@
 	}
 	a.deadlineTimer = &timer{due: a.upstreamAttempt.Deadline, attempt: a}
 	d.timers.add(a.deadlineTimer)
+	d.loop.memory.Take(budget.Requests, attemptCost)
 	d.loop.workers.Go(func() {
+		defer d.loop.memory.Release(budget.Requests, attemptCost)
 		// A canceled attempt counts as in flight until its connection is closed, and the attempts of a request must
 		// not overlap.
 		for _, e := range earlier {
