Read slowly from clients that send far ahead, and see their disconnect behind it

From 2 KiB of read-ahead on, the reader rests 10 ms before each read, so that the rest waits at the client. Bytes that are not read would hide a disconnect, so the state of the connection (TCP_INFO) is asked before each of these reads; where the system does not tell it, reading goes on as before. A client that keeps sending beside one long request still counts as disconnected.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -22,6 +22,9 @@
 	// fairReadAhead is how many bytes of read-ahead a connection may keep when memory is short. A client that has sent
 	// more then counts as disconnected.
 	fairReadAhead = 16 << 10
+	// pacedReadAhead is from how many bytes of read-ahead on the reader rests for readAheadInterval before each read.
+	pacedReadAhead    = 2 << 10
+	readAheadInterval = 10 * time.Millisecond
 	// readAheadBufferSize is the size in bytes of the buffer for reads between messages and while a message is
 	// processed. It holds a usual head.
 	readAheadBufferSize = 1 << 10
@@ -94,6 +97,7 @@
 // serve reads from the connection until it ends.
 func (c *conn) serve() {
 	for {
+		c.paceReadAhead()
 		space, ok := c.prepareRead()
 		if !ok {
 			return
@@ -105,6 +109,27 @@
 	}
 }
 
+// paceReadAhead lets the reader rest while a client sends far ahead of its responses, so that what it sends fills the
+// system's buffers and then waits at the client. Behind unread bytes, a disconnect shows only in the state of the
+// connection.
+func (c *conn) paceReadAhead() {
+	if !c.isFarAhead() {
+		return
+	}
+	c.server.stats.pauses.Add(1)
+	c.pause(readAheadInterval)
+	if closed, known := sockopt.PeerHasClosed(c.Conn); closed && known {
+		c.close()
+	}
+}
+
+// isFarAhead reports whether the client has sent much ahead of a response.
+func (c *conn) isFarAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight && len(c.parser.buffer) >= pacedReadAhead
+}
+
 // prepareRead waits until more may be read, and returns the space for it. It reports false once the connection ends.
 func (c *conn) prepareRead() (space []byte, ok bool) {
 	c.mu.Lock()
