Log the status in short lines, with memory by part and the busiest client

Each kind of count has a line of its own now (status.attempts, .load, .endpoints, .discovery, .clients, .messages, .memory_kb, .memory_refused, .process), none over 300 characters (TestStatusLinesAreShort). New are the resident memory, heap, stacks and goroutines, the event loop's queue, and what the clients of the busiest address did: connections, messages, bytes and time for reading and writing. At most 64 addresses are told apart, which no client can raise. TestAttemptLogIsBounded counts the intervals by the line 'status' alone, so that its bound stays as strict.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"pebblelift/internal/budget"
+	"pebblelift/internal/sidecar"
 	"pebblelift/internal/sockopt"
 	"pebblelift/internal/upstream"
 )
@@ -47,6 +49,7 @@
 type conn struct {
 	net.Conn
 	server   *Server
+	addr     netip.Addr // of the client
 	acceptAt time.Time
 	ctx      context.Context // ends when the client disconnects
 	cancel   context.CancelFunc
@@ -86,7 +89,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{Conn: nc, server: s, acceptAt: time.Now(), cut: make(chan struct{}), part: budget.Unfinished}
+	c := &conn{Conn: nc, server: s, addr: clientAddr(nc), acceptAt: time.Now(), cut: make(chan struct{}), part: budget.Unfinished}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.continued.L = &c.mu
 	c.refusals = budget.TokenBucket{Interval: refusalInterval, Burst: refusalBurst}
@@ -105,10 +108,18 @@
 		c.readingSince.Store(time.Now().UnixNano())
 		n, err := c.Read(space)
 		c.readingSince.Store(0)
+		started := time.Now()
 		c.afterRead(space[:n], err)
+		c.addUse(func(use *sidecar.ClientUse) {
+			use.ReceivedBytes += int64(n)
+			use.Work += min(time.Since(started), maxCountedWork)
+		})
 	}
 }
 
+// addUse lets f add to what the client has made the server do.
+func (c *conn) addUse(f func(*sidecar.ClientUse)) { c.server.uses.add(c.addr, f) }
+
 // paceReadAhead lets the reader rest while a client sends far ahead of its responses, so that what it sends fills the
 // system's buffers and then waits at the client. Behind unread bytes, a disconnect shows only in the state of the
 // connection.
@@ -116,7 +127,7 @@
 	if !c.isFarAhead() {
 		return
 	}
-	c.server.stats.pauses.Add(1)
+	c.server.stats.farAhead.Add(1)
 	c.pause(readAheadInterval)
 	if closed, known := sockopt.PeerHasClosed(c.Conn); closed && known {
 		c.close()
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -10,6 +10,7 @@
 
 	"pebblelift/internal/budget"
 	"pebblelift/internal/config"
+	"pebblelift/internal/sidecar"
 	"pebblelift/internal/transient"
 )
 
@@ -52,6 +53,7 @@
 		return
 	}
 	s.stats.accepted.Add(1)
+	c.addUse(func(use *sidecar.ClientUse) { use.Connections++ })
 	go c.serve()
 }
 
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -33,6 +33,8 @@
 	// continueResponse asks a client for the body that it holds back.
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 	continueTimeout  = 100 * time.Millisecond
+	// maxCountedWork limits how much of the time for one read or write counts as work. The rest is a wait.
+	maxCountedWork = time.Millisecond
 	// requestWaitDivisor limits how long a request waits for memory to half of the client's timeout.
 	requestWaitDivisor = 2
 )
@@ -222,6 +224,7 @@
 	case errors.Is(err, sidecar.ErrNotAccepted), errors.Is(err, sidecar.ErrMayHaveRun):
 		c.respond(w, errorResponse(http.StatusConflict, err))
 	case err != nil: // the client or the event loop has gone
+		c.addUse(func(use *sidecar.ClientUse) { use.Canceled++ })
 		c.close()
 		return
 	default:
@@ -304,8 +307,19 @@
 	c.inFlight = false // from now on, what the client sends waits unread
 	c.ending = r.close
 	c.mu.Unlock()
-	c.SetWriteDeadline(time.Now().Add(c.server.timeouts.write))
-	if err := r.write(c); err != nil {
+	started := time.Now()
+	c.SetWriteDeadline(started.Add(c.server.timeouts.write))
+	size := len(r.body)
+	err := r.write(c)
+	c.addUse(func(use *sidecar.ClientUse) {
+		use.Messages++
+		if r.status != http.StatusOK {
+			use.Unserved++
+		}
+		use.SentBytes += int64(size)
+		use.Work += min(time.Since(started), maxCountedWork)
+	})
+	if err != nil {
 		c.close()
 		return
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -91,6 +91,7 @@
 	starts          *budget.Slots      // requests that are being started
 	table           *connTable
 	stats           serverStats
+	uses            clientUses
 	reclaiming      atomic.Bool                          // reclaim runs
 	drainMode       atomic.Int32                         // the current drainMode
 	after           func(time.Duration) <-chan time.Time // time.After; replaced by tests
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"syscall"
+	"math"
 	"time"
 
 	"pebblelift/balance"
-	"pebblelift/internal/budget"
-	"pebblelift/internal/transient"
 	"pebblelift/internal/upstream"
 )
 
@@ -60,7 +58,22 @@
 	UnstoredMessages int64         // messages rejected because there was no memory for them, or at the end of a shutdown
 	Evicted          int64         // messages among these that gave up their memory to others
 	Pauses           int64         // waits of clients that sent too fast
+	MemoryWaits      int64         // messages that waited for memory
+	FarAhead         int64         // rests of the reader because a client had sent far ahead of its responses
 	ParseTime        time.Duration // time spent on reading messages of clients
+	Busiest          ClientUse     // the address that took the most work since the last call
+}
+
+// ClientUse is what the clients at one address have made the server do.
+type ClientUse struct {
+	Address       string
+	Connections   int           // accepted
+	Messages      int           // complete
+	Unserved      int           // messages that were not served
+	Canceled      int           // requests in flight whose client has left
+	ReceivedBytes int64         // from the clients
+	SentBytes     int64         // to the clients
+	Work          time.Duration // time for reading and writing messages, without waits for peers
 }
 
 // SetServerStats sets the function that returns the counts of the server for the status lines.
@@ -85,19 +98,28 @@
 	}
 }
 
-// logStatus logs one line with all counts since the start and the balancer's view of the load. The difference between
-// the counts of two lines shows what happened between them.
+// logStatus logs the counts since the start and the present state, in several short lines, as tools that collect logs cut
+// long ones. The difference between the counts of two lines shows what happened between them.
 func (d *dispatcher) logStatus() {
 	d.failedSinceStatus = 0
 	if d.stats.Requests == 0 {
 		return
 	}
-	lb, stats, poolStats := d.balancer.Stats(), &d.stats, d.pool.Stats()
-	firstAttemptMax := stats.FirstAttemptMax
-	stats.FirstAttemptMax = 0
+	d.logRequestStatus()
+	d.logLoadStatus()
+	d.logEndpointStatus()
+	d.logClientStatus()
+	d.logMemoryStatus()
+	d.logProcessStatus()
+}
+
+// logRequestStatus logs what became of requests and attempts.
+func (d *dispatcher) logRequestStatus() {
+	lb, stats := d.balancer.Stats(), &d.stats
 	d.log.Info("status",
 		"requests", stats.Requests,
 		"open", len(d.requests),
+		"repeated", stats.Repeated,
 		slog.Group("responses",
 			"served", stats.Responses[balance.OK],
 			"rejected", stats.Responses[balance.Rejected],
@@ -107,77 +129,93 @@
 			"past_objective", lb.PastObjective,
 			"shed", lb.Shed,
 			"retries_exhausted", lb.RetriesExhausted,
-			"not_sent", lb.NotSent),
-		slog.Group("attempts", stats.attemptCounts()...),
-		slog.Group("load",
-			"base_shed_fraction", lb.BaseShedFraction,
-			"overload", lb.Overload,
-			"baseline_latency", lb.BaselineLatency,
-			"short_term_latency", lb.ShortTermLatency,
-			"concurrency_limit", lb.ConcurrencyLimit),
-		slog.Group("endpoints", "listed", len(d.endpoints), "ejected", lb.Ejected, "warming_up", lb.WarmingUp),
-		slog.Group("discovery",
-			"calls", stats.DiscoveryCalls,
-			"failed", stats.DiscoveryFailures,
-			"overdue", stats.DiscoveryOverdue,
-			"latency_ms", stats.DiscoveryLatency,
-			"generation", d.generation),
-		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses),
-		slog.Group("clients", d.serverCounts()...),
-		slog.Group("memory", d.memoryCounts()...),
-		slog.Group("first_attempt", "count", stats.FirstAttempts, "total_ms", stats.FirstAttemptTotal,
-			"max_ms", firstAttemptMax),
-		slog.Group("process", "cpu_ms", processorTime().Milliseconds(), "waited_out_errors", transient.Total()),
-		"repeated", stats.Repeated,
-		slog.Group("gossip", "received", lb.GossipReceived, "dropped", lb.GossipDropped))
+			"not_sent", lb.NotSent))
+	d.log.Info("status.attempts", stats.attemptCounts()...)
+	d.log.Info("status.first_attempt",
+		"count", stats.FirstAttempts,
+		"total_ms", math.Round(stats.FirstAttemptTotal),
+		"max_ms", math.Round(stats.FirstAttemptMax))
+	stats.FirstAttemptMax = 0
 }
 
-// attemptCounts returns the number of attempts by result as log attributes. It omits results without attempts.
-func (s *Stats) attemptCounts() []any {
-	var attrs []any
-	for result, n := range s.Attempts {
-		if n > 0 {
-			attrs = append(attrs, slog.Int(balance.Result(result).String(), n))
-		}
-	}
-	return attrs
+// logLoadStatus logs the balancer's view of the load.
+func (d *dispatcher) logLoadStatus() {
+	lb := d.balancer.Stats()
+	d.log.Info("status.load",
+		"base_shed_fraction", roundFraction(lb.BaseShedFraction),
+		"overload", roundFraction(lb.Overload),
+		"baseline_latency", roundFraction(lb.BaselineLatency),
+		"short_term_latency", roundFraction(lb.ShortTermLatency),
+		"concurrency_limit", roundFraction(lb.ConcurrencyLimit))
 }
 
-// serverCounts returns the counts of the server for clients as log attributes, or nil if they are not known.
-func (d *dispatcher) serverCounts() []any {
+// roundFraction rounds a number for the log.
+func roundFraction(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// logEndpointStatus logs what is known of endpoints, the connections to them, and where the knowledge comes from.
+func (d *dispatcher) logEndpointStatus() {
+	lb, stats, poolStats := d.balancer.Stats(), &d.stats, d.pool.Stats()
+	d.log.Info("status.endpoints",
+		"listed", len(d.endpoints),
+		"ejected", lb.Ejected,
+		"warming_up", lb.WarmingUp,
+		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses))
+	d.log.Info("status.discovery",
+		"calls", stats.DiscoveryCalls,
+		"failed", stats.DiscoveryFailures,
+		"overdue", stats.DiscoveryOverdue,
+		"latency_ms", math.Round(stats.DiscoveryLatency),
+		"generation", d.generation,
+		slog.Group("gossip", "received", lb.GossipReceived, "dropped", lb.GossipDropped))
+}
+
+// logClientStatus logs the counts of the server for clients, if they are known.
+func (d *dispatcher) logClientStatus() {
 	serverStats := d.loop.serverStats.Load()
 	if serverStats == nil {
-		return nil
+		return
 	}
 	stats := (*serverStats)()
-	return []any{
-		"open", stats.Open, "accepted", stats.Accepted, "rejected", stats.Rejected, "accept_errors", stats.AcceptErrors,
-		"health_checks", stats.HealthChecks, "refused", stats.Refused, "pauses", stats.Pauses,
-		"invalid", stats.InvalidMessages, "too_large", stats.LargeMessages, "too_slow", stats.SlowMessages,
-		"not_stored", stats.UnstoredMessages, "evicted", stats.Evicted, "parse_ms", stats.ParseTime.Milliseconds(),
-	}
+	d.log.Info("status.clients",
+		"open", stats.Open,
+		"accepted", stats.Accepted,
+		"rejected", stats.Rejected,
+		"accept_errors", stats.AcceptErrors,
+		"health_checks", stats.HealthChecks,
+		"refused", stats.Refused,
+		"pauses", stats.Pauses,
+		"memory_waits", stats.MemoryWaits,
+		"far_ahead", stats.FarAhead)
+	d.log.Info("status.messages",
+		"invalid", stats.InvalidMessages,
+		"too_large", stats.LargeMessages,
+		"too_slow", stats.SlowMessages,
+		"not_stored", stats.UnstoredMessages,
+		"evicted", stats.Evicted,
+		"parse_ms", stats.ParseTime.Milliseconds())
+	busiest := &stats.Busiest
+	d.log.Info("status.busiest_client",
+		"address", busiest.Address,
+		"connections", busiest.Connections,
+		"messages", busiest.Messages,
+		"unserved", busiest.Unserved,
+		"canceled", busiest.Canceled,
+		"received_kb", busiest.ReceivedBytes>>10,
+		"sent_kb", busiest.SentBytes>>10,
+		"work_ms", busiest.Work.Milliseconds())
 }
 
-// memoryCounts returns the use of the memory budget as log attributes, in KiB by part.
-func (d *dispatcher) memoryCounts() []any {
-	const kiB = 1 << 10
-	usage := d.loop.memory.Usage()
-	attrs := []any{"budget_kb", usage.Capacity / kiB, "peak_kb", usage.Peak / kiB}
-	for part := range budget.PartCount {
-		attrs = append(attrs, part.String()+"_kb", usage.Used[part]/kiB, part.String()+"_refused", usage.Refused[part])
+// attemptCounts returns the number of attempts by result as log attributes. It omits results without attempts.
+func (s *Stats) attemptCounts() []any {
+	var attrs []any
+	for result, n := range s.Attempts {
+		if n > 0 {
+			attrs = append(attrs, slog.Int(balance.Result(result).String(), n))
+		}
 	}
 	return attrs
 }
 
-// processorTime returns the processor time that the process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // logAttempt logs an attempt that failed, unless maxLoggedAttempts have been logged since the last status line. An
 // attempt that was canceled is not a failure.
 func (d *dispatcher) logAttempt(a *attempt, response upstream.Response, latency float64) {
