Give clients that leave early no weight in load shedding

A simulation of the decisions shows the part that the balancer has in it: each arrival moves the fraction to shed, also of clients that leave at once, and their attempts count as load in flight while only successful responses count as rate.

Its time in flight is subtracted from the load, and arrivals move the fraction only as far as the others do. A client that leaves later counts as before, so that nobody hides an overload or a server that hangs.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -37,6 +37,8 @@
 	// fraction more, by the factor lowTrafficRequests/(requests per longest objective), but at most by the
 	// factor lowTrafficRequests.
 	lowTrafficRequests = 5
+	// minRequestRate is the lower bound, in requests per ms, on the rate of requests where it is a divisor.
+	minRequestRate = 1e-9
 	// maxShedFraction is the largest fraction of the load, from 0 to 1, that a sidecar decides to shed. It
 	// is below 1 because responses are needed to see that an overload has ended.
 	maxShedFraction = 0.95
@@ -73,6 +75,8 @@
 type loadShedder struct {
 	longestObjective float64   // longest latency objective of all classes, ms
 	responseRate     rateMeter // rate of successful responses
+	untoldRate       rateMeter // rate of attempts that ended too early to tell something
+	untoldLoad       rateMeter // mean load in flight of such attempts
 	baseShedFraction float64   // fraction of the load to shed; it persists after the overload
 
 	// overload is the latency beyond the allowed latency, as a fraction of the objective. With gossip,
@@ -81,7 +85,19 @@
 }
 
 func newLoadShedder(longestObjective float64) loadShedder {
-	return loadShedder{longestObjective: longestObjective, responseRate: newRateMeter(longestObjective)}
+	return loadShedder{
+		longestObjective: longestObjective,
+		responseRate:     newRateMeter(longestObjective),
+		untoldRate:       newRateMeter(longestObjective),
+		untoldLoad:       newRateMeter(longestObjective),
+	}
+}
+
+// recordUntold records an attempt that ended too early to tell something, with its time in flight as a
+// fraction of the latency objective. Its client must not make the fleet look full.
+func (s *loadShedder) recordUntold(now, fraction float64) {
+	s.untoldRate.add(now, 1)
+	s.untoldLoad.add(now, fraction)
 }
 
 // update sets the overload and the base shed fraction by the current load, and returns the fraction of the
@@ -92,8 +108,9 @@
 	allowed := latency.baseline + allowedQueueingFraction*(1-latency.baseline)
 	bounded := math.Min(estimated, 2*latency.shortTerm) // requests may be in flight together by chance
 	s.overload = math.Min(bounded, maxEstimatedLatency) - allowed
+	told := 1 - math.Min(1, s.untoldRate.rate(now, 0)/math.Max(requestRate, minRequestRate))
 	lowTrafficFactor := clamp(lowTrafficRequests/(requestRate*s.longestObjective), 1, lowTrafficRequests)
-	s.baseShedFraction = clamp(s.baseShedFraction+baseShedGain*lowTrafficFactor*s.overload,
+	s.baseShedFraction = clamp(s.baseShedFraction+baseShedGain*lowTrafficFactor*told*s.overload,
 		0, maxShedFraction)
 	// A sidecar whose base shed fraction is 0 must not shed because of requests in flight together by chance.
 	limit := math.Min(maxShedFraction, 2*s.baseShedFraction)
@@ -135,6 +152,7 @@
 // endpoints, the cause is overload, and all of the load counts.
 func (b *Balancer) overloadSignal() float64 {
 	healthy, ejected := b.inFlightLoad()
+	healthy = math.Max(0, healthy-b.shedder.untoldLoad.rate(b.now, 0))
 	if ejected > healthy {
 		return healthy + ejected
 	}
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -86,6 +86,9 @@
 	case OK:
 		b.recordSuccess(r, a.endpoint, event.Latency)
 	case Canceled, NotSent: // the result tells nothing about the endpoint
+		if event.Latency < minTellingFraction*r.overdueAfter() {
+			b.shedder.recordUntold(b.now, event.Latency/r.class.LatencyObjective)
+		}
 	default:
 		b.recordFailure(r, a, event)
 	}
@@ -115,6 +118,7 @@
 // became overdue. A failed connection attempt is always recorded.
 func (b *Balancer) recordFailure(r *request, a *attempt, event AttemptResult) {
 	if event.endedEarly(r) {
+		b.shedder.recordUntold(b.now, event.Latency/r.class.LatencyObjective)
 		return
 	}
 	if event.Result == TimedOut { // without timeouts the recorded latencies would lack the slowest attempts
