Keep room in the memory budget for the start of complete requests

Large messages stop at 0.75 of the budget now, the start of a request at 0.85. TestMemoryKeepsRoomForRequests checks it.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -16,9 +16,13 @@
 		t.Error("want room for exactly 400 of 1000 bytes of large unfinished messages")
 	}
 	body := m.Move(LargeUnfinished, Requests, 400)
-	if !m.TryReserve(LargeUnfinished, 350) || m.TryReserve(LargeUnfinished, 1) || m.TryReserve(Requests, 1) {
+	if !m.TryReserve(LargeUnfinished, 350) || m.TryReserve(LargeUnfinished, 1) {
 		t.Error("want room for exactly 350 bytes of large messages beside a request of 400 bytes")
 	}
+	if !m.TryReserve(Requests, 50) || m.TryReserve(Requests, 51) {
+		t.Error("want room for the start of requests that large messages cannot take")
+	}
+	m.Release(Requests, 50)
 	if !m.TryReserve(Unfinished, 50) || !m.TryReserve(Responses, 200) || m.TryReserve(Connections, 1) {
 		t.Error("want room for exactly 250 bytes beside messages and requests of 750 bytes")
 	}
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -26,12 +26,12 @@
 	return [PartCount]string{"connections", "unfinished", "large", "requests", "responses"}[p]
 }
 
-// The following are fractions of the budget. What is left over by connections and small messages goes to large messages and
-// accepted requests, and what these leave over to responses, so that each part waits only for later ones.
+// The following are fractions of the budget. Each step of a request finds room that earlier steps cannot take, so that it
+// waits only for requests that are farther than it: large messages that arrive, those that wait for their start, responses.
 const (
 	largeFraction        = 0.4  // for large unfinished messages
 	connectionFraction   = 0.7  // for connections and small unfinished messages
-	requestFraction      = 0.75 // for all but responses, while it is large messages or requests that grow
+	allButStartFraction  = 0.75 // for all but responses, while it is large messages that grow
 	allButAnswerFraction = 0.85 // for all but responses
 )
 
@@ -210,11 +210,11 @@
 			return false
 		}
 	case LargeUnfinished:
-		if m.exceeds(m.used[LargeUnfinished]+bytes, largeFraction) || m.exceeds(allButResponses+bytes, requestFraction) {
+		if m.exceeds(m.used[LargeUnfinished]+bytes, largeFraction) || m.exceeds(allButResponses+bytes, allButStartFraction) {
 			return false
 		}
 	case Requests:
-		if m.exceeds(allButResponses+bytes, requestFraction) {
+		if m.exceeds(allButResponses+bytes, allButAnswerFraction) {
 			return false
 		}
 	}
