Limit how many connections wait to be accepted

While the process is held up, 4,097 connections whose clients had sent 6,000 bytes and left waited in the kernel's queue: 30 MB in sockets beside 14 MB resident, at a limit of 32 MB. Beside 300 clients that leave, on half a core, the queue held 16 MB. Cause: the queue of a listener has room for 4,096 connections (somaxconn), each with a receive buffer. It has room for half as many as there are descriptors now.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
+	sockopt.LimitBacklog(listener, cfg.Limits.Backlog())
 	return listener, nil
 }
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -87,6 +87,10 @@
 	return int(min(max(buffer, minSocketBuffer), maxSocketBuffer))
 }
 
+// Backlog returns how many connections of clients may wait until they are accepted, or 0 for no limit: half as many as
+// there are descriptors, more than come in a moment.
+func (l Limits) Backlog() int { return l.Sockets / 2 }
+
 // ExecutionLogEntries returns how many requests that may have run are remembered, so that they do not run again.
 func (l Limits) ExecutionLogEntries() int {
 	if l.MemoryMB <= 0 {
--- a/internal/faulttest/socket_memory_test.go
+++ b/internal/faulttest/socket_memory_test.go
@@ -181,6 +181,33 @@
 	}
 }
 
+// Guards against memory that clients fill while the process is held up: they connect, send and leave, and the kernel keeps
+// their connections until the process accepts them.
+func TestConnectionsThatWaitStayWithinMemoryWithSockets(t *testing.T) {
+	const (
+		dialTimeout = 50 * time.Millisecond // a full queue does not answer
+		sentBytes   = 6000
+	)
+	servers, _ := startPickServers(t, 1, pickServiceTime, 0)
+	process := startSidecar(t, servers, leastLimits)
+	process.cmd.Process.Signal(syscall.SIGSTOP)
+	connections := 0
+	for ; connections < 5000; connections++ {
+		c, err := net.DialTimeout("tcp", process.addr, dialTimeout)
+		if err != nil {
+			break
+		}
+		c.SetWriteDeadline(time.Now().Add(dialTimeout))
+		c.Write(make([]byte, sentBytes))
+		c.Close()
+	}
+	time.Sleep(5 * socketMemoryInterval) // until the memory is sampled
+	process.cmd.Process.Signal(syscall.SIGCONT)
+	t.Logf("%d connections", connections)
+	nettest.Eventually(t, "the process is ready again", process.healthy)
+	process.checkHealthyProcess()
+}
+
 // The buffers of sockets are counted: what a peer has sent and nobody has read.
 func TestSocketMemoryCountsUnreadBytes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -1,7 +1,10 @@
 // Package sockopt sets options of sockets.
 package sockopt
 
-import "syscall"
+import (
+	"net"
+	"syscall"
+)
 
 // ControlFunc is called for each new socket before it listens or connects, like net.Dialer.Control.
 type ControlFunc func(network, address string, c syscall.RawConn) error
@@ -20,3 +23,12 @@
 		})
 	}
 }
+
+// LimitBacklog limits how many connections wait at a listener until they are accepted; 0 leaves the limit to the system.
+// The system keeps what their clients send. A system that refuses the limit keeps its own.
+func LimitBacklog(listener net.Listener, connections int) {
+	if connections <= 0 {
+		return
+	}
+	control(listener, func(fd uintptr) { syscall.Listen(int(fd), connections) })
+}
--- a/internal/sockopt/state.go
+++ b/internal/sockopt/state.go
@@ -37,9 +37,9 @@
 	return state != tcpEstablished && state != tcpFinWait1 && state != tcpFinWait2, known
 }
 
-// control calls f with the descriptor of a connection, if it has one.
-func control(c net.Conn, f func(fd uintptr)) {
-	withDescriptor, ok := c.(syscall.Conn)
+// control calls f with the descriptor of a connection or a listener, if it has one.
+func control(socket any, f func(fd uintptr)) {
+	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
 		return
 	}
