--- a/internal/faulttest/cancel_test.go
+++ b/internal/faulttest/cancel_test.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// Guards against answers that wait for memory which clients hold that do not read theirs.
+func TestClientsThatReadNothingLeaveMemoryForAnswers(t *testing.T) {
+	scenario{
+		limits: leastLimits, rate: 60, bodySize: 60_000, duration: 4 * time.Second,
+		peers: []hostilePeers{{Kind: soundStuck, Connections: 300}},
+	}.run(t)
+}
+
 // Guards against late and lost answers of the application beside a crowd of clients with sound requests.
 func TestSoundCrowdsDoNotDelayTheApplication(t *testing.T) {
 	for _, cores := range []float64{1, 0.5} {
--- a/internal/faulttest/peers_test.go
+++ b/internal/faulttest/peers_test.go
@@ -15,6 +15,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"pebblelift/internal/sockopt"
 )
 
 // peersVariable names the environment variable that holds the hostilePeers of a process, as JSON.
@@ -39,6 +41,7 @@
 	soundShort       = "sound requests with 1 ms left, answers read"
 	soundRequests    = "sound requests, answers read"
 	soundLeavers     = "sound requests, clients leave after some ms"
+	soundStuck       = "sound requests, no byte of the answers read"
 )
 
 var crowdKinds = []string{unfinishedHeads, unfinishedLong, unfinishedBodies, slowBodies, silentPeers}
@@ -48,7 +51,7 @@
 }
 
 // soundKinds send sound requests, one at a time on a connection but for soundUnread, without pause.
-var soundKinds = []string{soundBodies, soundUnread, soundShort, soundRequests, soundLeavers}
+var soundKinds = []string{soundBodies, soundUnread, soundShort, soundRequests, soundLeavers, soundStuck}
 
 // hostilePeers is a number of connections that all misbehave in the same way until their process ends.
 type hostilePeers struct {
@@ -102,7 +105,11 @@
 
 // connect opens one connection, misbehaves on it and returns when the sidecar has closed it.
 func (p *hostilePeers) connect(random *rand.Rand) {
-	c, err := net.Dial("tcp", p.Addr)
+	var dialer net.Dialer
+	if p.Kind == soundStuck {
+		dialer.Control = sockopt.LimitBuffers(stuckBuffer)
+	}
+	c, err := dialer.Dial("tcp", p.Addr)
 	if err != nil {
 		time.Sleep(10 * time.Millisecond)
 		return
@@ -181,6 +188,9 @@
 const (
 	unreadPause = 5 * time.Millisecond
 	leaveAfter  = 30 * time.Millisecond
+	// stuckTime is how long a client of soundStuck stays, with a receive buffer of stuckBuffer bytes.
+	stuckTime   = 10 * time.Second
+	stuckBuffer = 4 << 10
 )
 
 // sendSound sends sound requests until the connection ends.
@@ -193,6 +203,9 @@
 		case soundUnread:
 			time.Sleep(unreadPause)
 			continue
+		case soundStuck:
+			time.Sleep(stuckTime)
+			return
 		case soundLeavers:
 			time.Sleep(time.Duration(random.Int64N(int64(leaveAfter))))
 			return
