End the connection of a client that sends ahead with the process

A client that sends far ahead was read so slowly that its connection always had a next request, so that it ended only with the time limit of the shutdown; read as fast as it sends, it counts as disconnected, as before. TestShutdownBesideOneClientThatSendsAhead fails without the change.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -124,7 +124,7 @@
 // system's buffers and then waits at the client. Behind unread bytes, a disconnect shows only in the state of the
 // connection.
 func (c *conn) paceReadAhead() {
-	if !c.isFarAhead() {
+	if !c.isFarAhead() || c.server.draining() { // such a client has to end with the process
 		return
 	}
 	c.server.stats.farAhead.Add(1)
--- a/internal/faulttest/faults_test.go
+++ b/internal/faulttest/faults_test.go
@@ -242,6 +242,14 @@
 	}
 }
 
+// Guards against a process that does not end by itself because a client goes on sending ahead of its responses.
+func TestShutdownBesideOneClientThatSendsAhead(t *testing.T) {
+	scenario{
+		limits: limits{cores: 0.5, memoryMB: 32, sockets: 1024}, rate: 40, duration: 2 * time.Second, shutdown: time.Second,
+		peers: []hostilePeers{{Kind: floodRequests, Connections: 1}},
+	}.run(t)
+}
+
 // Guards against a process over its memory limit when a crowd of unfinished requests, a flood and the application's own
 // requests with large bodies come together, with few descriptors as well as many.
 func TestCrowdFloodAndLargeBodiesStayWithinMemory(t *testing.T) {
