Wait up to 20 s for the address at the start

In the rig it was an outgoing connection, to which the system had given the port; the ports of its sidecars lie below that range now. A process may take 30 s to be ready, so it waits up to 20 s. TestStartWaitsForAddress holds the address for 0.3 s, as before, and for 4 s, which failed before.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -290,9 +290,20 @@
 	}
 }
 
-// Guards against a sidecar that refuses to start because its address is in use for a moment, as by a process that is
-// just ending.
+// Guards against a sidecar that refuses to start because its address is in use for a while, as by a process that is just
+// ending.
 func TestStartWaitsForAddress(t *testing.T) {
+	for _, held := range []time.Duration{300 * time.Millisecond, 4 * time.Second} {
+		t.Run(held.String(), func(t *testing.T) {
+			t.Parallel()
+			checkStartWaitsForAddress(t, held)
+		})
+	}
+}
+
+// checkStartWaitsForAddress checks that a sidecar starts although its address is in use for some time.
+func checkStartWaitsForAddress(t *testing.T, held time.Duration) {
+	t.Helper()
 	discovery, _ := startDiscovery(t)
 	holder, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -304,7 +315,7 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	time.AfterFunc(300*time.Millisecond, func() { holder.Close() })
+	time.AfterFunc(held, func() { holder.Close() })
 	_, lines := startSidecar(t, path)
 	if line := <-lines; !strings.Contains(line, "msg=serving") {
 		t.Errorf("first log line %q, want one that says serving", line)
--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"strings"
 	"sync"
@@ -102,7 +101,7 @@
 	discovery := startDiscovery(t, catalogOf(servers))
 	var gossip []string
 	for range count {
-		gossip = append(gossip, fmt.Sprintf("%q", freeGossipAddress(t)))
+		gossip = append(gossip, fmt.Sprintf("%q", freeAddress(t)))
 	}
 	var nodes []*node
 	for i := range count {
@@ -122,17 +121,6 @@
 	return nodes
 }
 
-// freeGossipAddress returns a UDP address of the loopback interface that nobody uses.
-func freeGossipAddress(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // start starts a process.
 func (n *node) start() {
 	n.t.Helper()
--- a/internal/faulttest/sidecar_test.go
+++ b/internal/faulttest/sidecar_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -148,15 +149,30 @@
 	return nettest.CatalogJSON(40, true, instances...)
 }
 
-// freeAddress returns an address of the loopback interface at which nobody listens.
+// The ports of sidecars lie below those that the system gives to outgoing connections, one of which could otherwise take
+// the address of a sidecar that is restarted.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// freeAddress returns an address of the loopback interface that nobody uses for TCP or UDP.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		if socket, err := net.ListenPacket("udp", addr); err == nil {
+			socket.Close()
+			return addr
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free address found")
+	return ""
 }
 
 // start starts the process. It is killed at the end of the test.
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// listenTimeout is how long Listen tries. A process that is ending may still hold an address for a moment.
-const listenTimeout = 3 * time.Second
+// listenTimeout is how long Listen tries. A process that is ending, or a connection of another one, may still hold an
+// address. A process has to be ready within 30 s.
+const listenTimeout = 20 * time.Second
 
 // Listen calls listen, which opens a socket, until it succeeds or fails for a reason that does not pass by itself. It
 // returns the last error after some seconds.
