--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -39,6 +39,8 @@
 	// time, larger ones bring nothing.
 	minSocketBuffer = 4 << 10
 	maxSocketBuffer = 64 << 10
+	// backlogPerDescriptor is how many connections may wait to be accepted for each descriptor of the process.
+	backlogPerDescriptor = 2
 	// buffersPerConnection is how many buffers a connection has, each with as much again for the overhead of the kernel.
 	buffersPerConnection = 4
 	// executionLogEntriesPerMB and maxExecutionLogEntries bound the requests that are remembered because they must not
@@ -87,9 +89,9 @@
 	return int(min(max(buffer, minSocketBuffer), maxSocketBuffer))
 }
 
-// Backlog returns how many connections of clients may wait until they are accepted, or 0 for no limit: half as many as
-// there are descriptors, more than come in a moment.
-func (l Limits) Backlog() int { return l.Sockets / 2 }
+// Backlog returns how many connections of clients may wait until they are accepted, or 0 for no limit. While the queue is
+// full, the system answers nobody for a second or more.
+func (l Limits) Backlog() int { return backlogPerDescriptor * l.Sockets }
 
 // ExecutionLogEntries returns how many requests that may have run are remembered, so that they do not run again.
 func (l Limits) ExecutionLogEntries() int {
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -11,6 +11,7 @@
 	"pebblelift/internal/budget"
 	"pebblelift/internal/config"
 	"pebblelift/internal/sidecar"
+	"pebblelift/internal/sockopt"
 	"pebblelift/internal/transient"
 )
 
@@ -18,6 +19,8 @@
 	// rejectionTimeout limits the write of a rejectionResponse, and separately the wait for the client to close its
 	// connection after the response.
 	rejectionTimeout = 500 * time.Millisecond
+	// dropsPerTurn is after how many connections whose clients have left the accept loop gives way.
+	dropsPerTurn = 64
 	// rejectionResponse is the HTTP response on a connection that exceeds the connection limit.
 	rejectionResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -38,6 +41,9 @@
 			continue
 		}
 		backoff.Reset()
+		if s.dropIfLeft(c) {
+			continue
+		}
 		s.admit(c, rejectionSlots)
 		if s.accepts.TakeWithin(time.Now(), time.Nanosecond) > 0 {
 			runtime.Gosched() // while connections flood in, those that are open get their turn
@@ -45,6 +51,19 @@
 	}
 }
 
+// dropIfLeft closes a connection whose client has left while it waited to be accepted, so that others do not wait behind the
+// work for it. It reports whether it has.
+func (s *Server) dropIfLeft(c net.Conn) bool {
+	if left, known := sockopt.PeerHasClosed(c); !left || !known {
+		return false
+	}
+	c.Close()
+	if s.stats.left.Add(1)%dropsPerTurn == 0 {
+		runtime.Gosched()
+	}
+	return true
+}
+
 // admit serves a connection, or rejects it if there is no slot or no memory for it.
 func (s *Server) admit(nc net.Conn, rejectionSlots chan struct{}) {
 	c := newConn(s, nc)
--- a/internal/downstream/stats.go
+++ b/internal/downstream/stats.go
@@ -16,6 +16,7 @@
 	invalid, tooLarge, tooSlow, noMemory atomic.Int64 // rejected messages by reason
 	evicted                              atomic.Int64 // unfinished messages rejected because others needed their memory
 	memoryWaits                          atomic.Int64 // messages that waited for memory
+	left                                 atomic.Int64 // connections whose clients left before they were accepted
 	farAhead                             atomic.Int64 // rests of the reader because a client had sent far ahead
 	pauses                               atomic.Int64 // waits of clients that send too fast
 	parse                                durationSum  // time for reading the messages of clients
@@ -60,6 +61,7 @@
 		Pauses:           stats.pauses.Load(),
 		MemoryWaits:      stats.memoryWaits.Load(),
 		FarAhead:         stats.farAhead.Load(),
+		Left:             stats.left.Load(),
 		ParseTime:        stats.parse.total(),
 		Busiest:          s.uses.takeBusiest(),
 	}
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -60,6 +60,7 @@
 	Pauses           int64         // waits of clients that sent too fast
 	MemoryWaits      int64         // messages that waited for memory
 	FarAhead         int64         // rests of the reader because a client had sent far ahead of its responses
+	Left             int64         // connections whose clients left before they were accepted
 	ParseTime        time.Duration // time spent on reading messages of clients
 	Busiest          ClientUse     // the address that took the most work since the last call
 }
@@ -181,6 +182,7 @@
 		"accepted", stats.Accepted,
 		"rejected", stats.Rejected,
 		"accept_errors", stats.AcceptErrors,
+		"left", stats.Left,
 		"health_checks", stats.HealthChecks,
 		"refused", stats.Refused,
 		"pauses", stats.Pauses,
