--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -21,20 +21,12 @@
 	// answered. Clients send one request at a time, and the largest request is smaller than this. A client that sends
 	// more counts as disconnected, because its disconnect could not be noticed behind unread data.
 	maxReadAhead = 2 * upstream.MaxBodySize
-	// fairReadAhead is how many bytes of read-ahead a connection may keep when memory is short. A client that has sent
-	// more then counts as disconnected.
-	fairReadAhead = 16 << 10
 	// pacedReadAhead is from how many bytes of read-ahead on the reader rests for readAheadInterval before each read.
 	pacedReadAhead    = 2 << 10
 	readAheadInterval = 10 * time.Millisecond
 	// readAheadBufferSize is the size in bytes of the buffer for reads between messages and while a message is
 	// processed. It holds a usual head.
 	readAheadBufferSize = 1 << 10
-	// smallMessage is the size in bytes up to which a message that has not arrived whole counts as small. The whole memory
-	// of a larger one is reserved at once, so that no two wait for the rest of each other's.
-	smallMessage = 4 << 10
-	// stallTimeout is how long a client may send nothing of its message before it gives way to others that need memory.
-	stallTimeout = 10 * time.Millisecond
 	// connectionCost is the memory in bytes that a connection takes besides what its client sends: its goroutine, its
 	// descriptor in the runtime, its read-ahead buffer and its state.
 	connectionCost = 6 << 10
@@ -205,91 +197,6 @@
 	}
 }
 
-// store copies what was read to the parser's buffer, which grows for it. If there is no memory, the message is rejected;
-// read-ahead without memory ends the connection, as a disconnect could not be noticed any more. It reports whether the
-// bytes were stored. The caller holds mu, which store releases for a while.
-func (c *conn) store(p []byte) bool {
-	size := c.bufferSizeFor(len(p))
-	for int64(size) > c.reserved.Load() {
-		if !c.grow(int64(size)) {
-			c.handleNoMemory()
-			return false
-		}
-		if c.gone || c.ending || c.rejection != nil {
-			c.dropBuffer()
-			return false
-		}
-		size = c.bufferSizeFor(len(p))
-	}
-	c.parser.store(p, size)
-	return true
-}
-
-// bufferSizeFor returns the size in bytes that the parser's buffer needs for n more bytes. A buffer for a large message
-// has room for all of it. The caller holds mu.
-func (c *conn) bufferSizeFor(n int) int {
-	size := c.parser.sizeFor(n)
-	switch {
-	case c.processing:
-		return size
-	case c.pending != nil && c.parser.bodySize() > smallMessage:
-		return max(size, c.parser.bodySize())
-	case size > smallMessage:
-		return max(size, maxHeadSize)
-	default:
-		return size
-	}
-}
-
-// grow reserves memory for a buffer of the given size. A message that becomes large moves to another part of the budget and
-// may wait for memory there. It reports whether the memory is reserved. The caller holds mu, which grow releases for a
-// while.
-func (c *conn) grow(size int64) bool {
-	part, mayWait := budget.Unfinished, !c.processing
-	if size > smallMessage {
-		part = budget.LargeUnfinished
-	}
-	held := c.reserved.Load()
-	more := size
-	if part == c.part {
-		more -= held
-	}
-	c.mu.Unlock()
-	var reserved bool
-	if mayWait {
-		reserved = c.server.awaitMemory(c, part, more, maxMemoryWait) == nil
-	} else {
-		reserved = c.server.reserve(part, more)
-	}
-	c.mu.Lock()
-	if !reserved {
-		return false
-	}
-	if c.reserved.Load() != held { // dropped meanwhile
-		c.server.memory.Release(part, more)
-		return true
-	}
-	if part != c.part {
-		c.server.memory.Release(c.part, held)
-	}
-	c.part = part
-	c.reserved.Store(size)
-	if mayWait {
-		c.bodyAt = time.Now() // the client could not send while it waited for memory
-	}
-	return true
-}
-
-// handleNoMemory rejects the message that arrives, or ends the connection of a client whose request is in flight. The
-// caller holds mu.
-func (c *conn) handleNoMemory() {
-	if c.inFlight {
-		c.disconnect()
-		return
-	}
-	c.reject(errNoMemory)
-}
-
 // reject arranges that the message that has not arrived whole is rejected, and releases what it holds. The caller holds
 // mu.
 func (c *conn) reject(reason error) {
@@ -364,34 +271,6 @@
 	c.SetReadDeadline(c.readDeadline())
 }
 
-// evictIfStalled rejects a message that has not arrived whole if its client has sent nothing more of it for stallTimeout,
-// and releases its memory. It reports whether it has.
-func (c *conn) evictIfStalled(now time.Time) bool {
-	readingSince := c.readingSince.Load()
-	if readingSince == 0 || now.UnixNano()-readingSince < int64(stallTimeout) || sockopt.HasUnread(c.Conn) {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.processing || c.gone || c.ending || c.rejection != nil || c.reserved.Load() == 0 {
-		return false
-	}
-	c.reject(errNoMemory)
-	c.SetReadDeadline(pastDeadline)
-	return true
-}
-
-// evictReadAhead ends the connection if its client has sent much ahead of a response. It reports whether it has.
-func (c *conn) evictReadAhead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.inFlight || c.gone || c.reserved.Load() <= fairReadAhead {
-		return false
-	}
-	c.disconnect()
-	return true
-}
-
 // disconnect takes note that the client has gone: its request is canceled, nothing else of it is served, and the
 // connection is closed. The caller holds mu.
 func (c *conn) disconnect() {
@@ -406,15 +285,6 @@
 	c.server.release(c)
 }
 
-// dropBuffer releases what has arrived and was not processed. The caller holds mu.
-func (c *conn) dropBuffer() {
-	c.parser.drop()
-	c.pending, c.arrivals = nil, arrivals{}
-	c.unfinishedSince.Store(0)
-	c.server.memory.Release(c.part, c.reserved.Swap(0))
-	c.part = budget.Unfinished
-}
-
 // close ends the connection.
 func (c *conn) close() {
 	c.mu.Lock()
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -1,17 +1,13 @@
 package downstream
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
-	"pebblelift/balance"
 	"pebblelift/internal/budget"
-	"pebblelift/internal/clock"
 	"pebblelift/internal/sidecar"
 	"pebblelift/internal/upstream"
 )
@@ -21,11 +17,8 @@
 	// in each interval. Further ones wait unread, so that a client that sends without pause takes no time from others.
 	refusalInterval = 20 * time.Millisecond
 	refusalBurst    = 20
-	// freeRefusals is how many requests in a row may be refused before the connection shares the rate of refusals with
-	// others.
-	freeRefusals   = 4
-	healthInterval = 100 * time.Millisecond
-	healthBurst    = 4
+	healthInterval  = 100 * time.Millisecond
+	healthBurst     = 4
 	// lingerTimeout and maxLingerBytes limit what is read after the last response on a connection. A close over unread
 	// bytes would reset the connection, perhaps before the client has read the response.
 	lingerTimeout  = 500 * time.Millisecond
@@ -35,8 +28,6 @@
 	continueTimeout  = 100 * time.Millisecond
 	// maxCountedWork limits how much of the time for one read or write counts as work. The rest is a wait.
 	maxCountedWork = time.Millisecond
-	// requestWaitDivisor limits how long a request waits for memory to half of the client's timeout.
-	requestWaitDivisor = 2
 )
 
 // work is one message of a client that is to be answered.
@@ -203,71 +194,6 @@
 	}
 }
 
-// serveRequest hands a request to the event loop and writes its response. It refuses the request if others take all
-// processor time or memory.
-func (c *conn) serveRequest(w *work) {
-	if !c.begin(w) {
-		w.memory.Release()
-		c.server.stats.refused.Add(1)
-		c.respond(w, errorResponse(http.StatusServiceUnavailable, errNoMemory))
-		c.restAfterRefusal()
-		return
-	}
-	defer c.server.memory.Release(budget.Requests, requestCost)
-	w.request.Decided = sync.OnceFunc(c.server.starts.Release)
-	response, err := c.server.loop.Do(c.ctx, w.request)
-	w.request.Decided()
-	w.request.Forwarded.Body = nil
-	w.memory.Release()
-	defer response.Release()
-	switch {
-	case errors.Is(err, sidecar.ErrNotAccepted), errors.Is(err, sidecar.ErrMayHaveRun):
-		c.respond(w, errorResponse(http.StatusConflict, err))
-	case err != nil: // the client or the event loop has gone
-		c.addUse(func(use *sidecar.ClientUse) { use.Canceled++ })
-		c.close()
-		return
-	default:
-		c.proven.Store(response.Result == balance.OK)
-		c.respond(w, finalResponse(response))
-	}
-	if response.Result != balance.OK || err != nil {
-		c.restAfterRefusal()
-		return
-	}
-	c.refusalsInARow = 0
-}
-
-// begin waits for the memory of a request and for its turn to be started, in which clients whose last request was served
-// go first. It reports whether the request may start now.
-func (c *conn) begin(w *work) bool {
-	longest := min(maxMemoryWait, clock.Duration(w.request.Timeout/requestWaitDivisor))
-	if c.server.awaitMemory(c, budget.Requests, requestCost, longest) != nil {
-		return false
-	}
-	if c.server.starts.TryAcquire() {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, longest)
-	defer cancel()
-	if c.server.starts.Acquire(ctx, c.proven.Load()) != nil {
-		c.server.memory.Release(budget.Requests, requestCost)
-		return false
-	}
-	return true
-}
-
-// restAfterRefusal lets a connection rest whose requests are not served. While many connections have only such
-// requests, they share a rate.
-func (c *conn) restAfterRefusal() {
-	now := time.Now()
-	wait := c.refusals.Take(now)
-	if c.refusalsInARow++; c.refusalsInARow > freeRefusals {
-		wait = max(wait, c.server.refusals.TakeWithin(now, maxHold))
-	}
-	c.pause(wait)
-}
-
 // rejectMessage answers a message that is no request, or does not arrive whole, and ends the connection. While there
 // are many such messages, the answer waits, since the clients often connect anew at once.
 func (c *conn) rejectMessage(w *work) {
