Keep the keys of discovery in the status, and let a rig's log stop once

The check of mixed fleets reads discovery.generation from the line that has gossip's counts; these keys are as before the split, in status.sources.

--- a/internal/faulttest/node_test.go
+++ b/internal/faulttest/node_test.go
@@ -30,6 +30,7 @@
 type nodeLog struct {
 	reader, writer *os.File
 	paused         chan struct{} // closed when the reader stops reading
+	pause          sync.Once
 
 	mu   sync.Mutex
 	last []string // the last lines
@@ -71,8 +72,10 @@
 
 // stop ends the reading and fills the pipe, so that a process finds no room.
 func (l *nodeLog) stop() {
-	close(l.paused)
-	go io.Copy(l.writer, endlessReader{})
+	l.pause.Do(func() {
+		close(l.paused)
+		go io.Copy(l.writer, endlessReader{})
+	})
 }
 
 // close closes the reading end of the pipe.
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -161,12 +161,13 @@
 		"ejected", lb.Ejected,
 		"warming_up", lb.WarmingUp,
 		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses))
-	d.log.Info("status.discovery",
-		"calls", stats.DiscoveryCalls,
-		"failed", stats.DiscoveryFailures,
-		"overdue", stats.DiscoveryOverdue,
-		"latency_ms", math.Round(stats.DiscoveryLatency),
-		"generation", d.generation,
+	d.log.Info("status.sources",
+		slog.Group("discovery",
+			"calls", stats.DiscoveryCalls,
+			"failed", stats.DiscoveryFailures,
+			"overdue", stats.DiscoveryOverdue,
+			"latency_ms", math.Round(stats.DiscoveryLatency),
+			"generation", d.generation),
 		slog.Group("gossip", "received", lb.GossipReceived, "dropped", lb.GossipDropped))
 }
 
