Check the room for answers as strictly as before

Connections and small messages alone leave 0.2 as before, and are checked for it again; beside large messages and requests, which had no bound before, 0.15 stays free.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -116,20 +116,24 @@
 // Guards against connections and unfinished messages that together leave nothing for requests and their responses, in
 // whatever order they come.
 func TestClientsLeaveMemoryForAnswers(t *testing.T) {
-	const capacity, step, answers = 1000, 10, 150
-	for name, order := range map[string][]Part{
-		"connections first":    {Connections, Unfinished, LargeUnfinished, Requests},
-		"small messages first": {Unfinished, Connections, LargeUnfinished, Requests},
-		"large messages first": {LargeUnfinished, Connections, Unfinished, Requests},
-		"requests first":       {Requests, Connections, Unfinished, LargeUnfinished},
+	const capacity, step = 1000, 10
+	for _, test := range []struct {
+		order   []Part
+		answers int64 // bytes that must be free
+	}{
+		{[]Part{Connections, Unfinished}, 200},
+		{[]Part{Unfinished, Connections}, 200},
+		{[]Part{Connections, Unfinished, LargeUnfinished, Requests}, 150},
+		{[]Part{LargeUnfinished, Connections, Unfinished, Requests}, 150},
+		{[]Part{Requests, Connections, Unfinished, LargeUnfinished}, 150},
 	} {
 		m := NewMemory(capacity)
-		for _, part := range order {
+		for _, part := range test.order {
 			for m.TryReserve(part, step) {
 			}
 		}
-		if !m.TryReserve(Responses, answers) {
-			t.Errorf("%s: %+v, want room for responses of %d bytes", name, m.Usage(), answers)
+		if !m.TryReserve(Responses, test.answers) {
+			t.Errorf("%v: %+v, want room for responses of %d bytes", test.order, m.Usage(), test.answers)
 		}
 	}
 }
