--- a/internal/boundedlog/writer_test.go
+++ b/internal/boundedlog/writer_test.go
@@ -45,8 +45,11 @@
 		w.Write(line)
 	}
 	lost := w.LostLines()
-	if lost < lines-maxQueuedLines-1 || w.queued > maxQueuedBytes {
-		t.Errorf("%d of %d lines lost, %d bytes queued; want all but %d lines lost", lost, lines, w.queued, maxQueuedLines)
+	w.mu.Lock()
+	queued := w.queued
+	w.mu.Unlock()
+	if lost < lines-maxQueuedLines-1 || queued > maxQueuedBytes {
+		t.Errorf("%d of %d lines lost, %d bytes queued; want all but %d lines lost", lost, lines, queued, maxQueuedLines)
 	}
 	close(destination.released)
 	w.Close(time.Minute)
