--- a/review/standin-2/cmd/review2-burst/main.go
+++ b/review/standin-2/cmd/review2-burst/main.go
@@ -32,7 +32,7 @@
 	connections = descriptors / 3                            // what clients may use for requests
 	calm        = 12                                         // connections without the disruption
 	lasts       = 8 * time.Second                            // a burst of traffic lasts 2.3 to 9.8 s
-	longest     = 2000 * time.Millisecond                    // the class's deadline
+	longest     = 1250 * time.Millisecond                    // half of the deadline: a client gives up a try after 40 to 55% of it
 	shortest    = 200 * time.Millisecond                     // what is left to a third of the requests
 	lost        = 500*time.Millisecond + 50*time.Millisecond // after its time a request counts as lost
 	rest        = 60 * time.Millisecond                      // the longest rest of a connection between two requests
