--- a/review/standin-2/cmd/review2-window/main.go
+++ b/review/standin-2/cmd/review2-window/main.go
@@ -6,7 +6,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +31,9 @@
 	slack    = 200 * time.Millisecond // 0.05 s of the protocol page and 0.15 s of the standing test
 	failsAt  = 600 * time.Millisecond
 	hangsFor = 1600 * time.Millisecond
-	requests = 6
+	requests = 8
+	picks    = 6
+	hanging  = picks / 2 // a quarter to a half of the pick servers hang
 	bodySize = 64 << 10
 	// receiveBuffer is the size of the pick servers' receive buffers. The sidecar gives its own sockets smaller ones.
 	receiveBuffer = 16 << 10
@@ -41,7 +45,7 @@
 type arrival struct {
 	server string
 	last   time.Time // when its last byte had come
-	behind bool      // see hanging
+	behind bool      // see hangingConn
 }
 
 type world struct {
@@ -59,15 +63,15 @@
 	return w.hangs[server]
 }
 
-// hanging is a connection from which a pick server doesn't read while it hangs.
-type hanging struct {
+// hangingConn is a connection from which a pick server doesn't read while it hangs.
+type hangingConn struct {
 	net.Conn
 	w      *world
 	server string
 	behind bool // so much of the message was missing at the end of the hang that the sidecar had not written its last byte
 }
 
-func (h *hanging) Read(p []byte) (int, error) {
+func (h *hangingConn) Read(p []byte) (int, error) {
 	for wait := time.Until(h.w.hungUntil(h.server)); wait > 0; wait = time.Until(h.w.hungUntil(h.server)) {
 		time.Sleep(wait)
 		came := kit.Unread(h.Conn)
@@ -80,7 +84,7 @@
 
 func (w *world) serve(server string) func(net.Conn, *bufio.Reader) {
 	return func(conn net.Conn, _ *bufio.Reader) {
-		h := &hanging{Conn: conn, w: w, server: server}
+		h := &hangingConn{Conn: conn, w: w, server: server}
 		in := bufio.NewReader(h)
 		for {
 			h.behind = false
@@ -99,11 +103,12 @@
 			isFirst := len(w.byID[m.ID()]) == 0
 			w.byID[m.ID()] = append(w.byID[m.ID()], arrival{server, m.At, h.behind})
 			if isFirst && w.c.Trouble {
-				for _, s := range w.servers {
-					if s != server {
-						w.hangs[s] = m.At.Add(hangsFor)
-					}
+				others := slices.DeleteFunc(slices.Clone(w.servers), func(s string) bool { return s == server })
+				rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+				for _, s := range others[:hanging] {
+					w.hangs[s] = m.At.Add(hangsFor)
 				}
+				w.c.Record.Logf("%v hang for %d ms", others[:hanging], hangsFor.Milliseconds())
 			}
 			w.mu.Unlock()
 			w.c.Record.Logf("%s: the last byte of request %s has come (X-Expires-In %s), it runs", server, m.ID(), m.Fields["x-expires-in"])
@@ -121,7 +126,7 @@
 func run(c *kit.Case) int {
 	w := &world{c: c, byID: map[string][]arrival{}, hangs: map[string]time.Time{}}
 	var list []kit.Instance
-	for i := range 3 {
+	for i := range picks {
 		id := fmt.Sprintf("s-%d", i)
 		w.servers = append(w.servers, id)
 		p, err := kit.StartPick(id, receiveBuffer, w.serve(id))
