Answer a request that waits for memory before its connection gives up its slot

Cause: a message without memory waited with its 503 in one list with messages that are no requests, and a new connection without a slot closed the longest waiting connection (connTable.cutHeld), over unread bytes.

Change: each response that waits has a policy. One for which a client may wait is held within half of that client's time, and written at once when its slot is needed (hastenHeld); its connection then counts among the 16 that are being rejected. A stalled one is closed only with nothing unread, and after its response. The end of a shutdown no longer waits in that list. The status counts such responses (cut).

Why it works: no path closes a connection any more before its response is written, and over unread bytes only where the client is owed no answer.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -45,7 +45,6 @@
 	acceptAt time.Time
 	ctx      context.Context // ends when the client disconnects
 	cancel   context.CancelFunc
-	cut      chan struct{} // closed when a connection that is held has to give up its slot
 
 	refusals     budget.TokenBucket // limits requests that no endpoint answers
 	healthChecks budget.TokenBucket // limits health checks
@@ -81,7 +80,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{Conn: nc, server: s, addr: clientAddr(nc), acceptAt: time.Now(), cut: make(chan struct{}), part: budget.Unfinished}
+	c := &conn{Conn: nc, server: s, addr: clientAddr(nc), acceptAt: time.Now(), part: budget.Unfinished}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.continued.L = &c.mu
 	c.refusals = budget.TokenBucket{Interval: refusalInterval, Burst: refusalBurst}
--- a/internal/downstream/conn_buffer.go
+++ b/internal/downstream/conn_buffer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pebblelift/internal/budget"
+	"pebblelift/internal/clock"
 	"pebblelift/internal/sockopt"
 )
 
@@ -25,7 +26,7 @@
 	size := c.bufferSizeFor(len(p))
 	for int64(size) > c.reserved.Load() {
 		if !c.grow(int64(size)) {
-			c.handleNoMemory()
+			c.handleNoMemory(len(p))
 			return false
 		}
 		if c.gone || c.ending || c.rejection != nil {
@@ -93,14 +94,25 @@
 	return true
 }
 
-// handleNoMemory rejects the message that arrives, or ends the connection of a client whose request is in flight. The
-// caller holds mu.
-func (c *conn) handleNoMemory() {
+// handleNoMemory rejects the message that arrives, or ends the connection of a client whose request is in flight. The given
+// number of bytes were read and not stored. The caller holds mu.
+func (c *conn) handleNoMemory(notStored int) {
 	if c.inFlight {
 		c.disconnect()
 		return
 	}
-	c.reject(errNoMemory)
+	c.reject(c.noMemory(false, notStored))
+}
+
+// noMemory returns the error for the message that arrives. The given number of bytes were read and not stored. The caller
+// holds mu.
+func (c *conn) noMemory(stalled bool, notStored int) error {
+	err := &noMemoryError{stalled: stalled}
+	if c.pending != nil {
+		err.answerBy = c.bodyAt.Add(clock.Duration(c.pending.request.Timeout / requestWaitDivisor))
+		err.unread = max(0, int64(c.pending.head.contentLength-len(c.parser.buffer)-notStored))
+	}
+	return err
 }
 
 // evictIfStalled rejects a message that has not arrived whole if its client has sent nothing more of it for stallTimeout,
@@ -115,7 +127,7 @@
 	if c.processing || c.gone || c.ending || c.rejection != nil || c.reserved.Load() == 0 {
 		return false
 	}
-	c.reject(errNoMemory)
+	c.reject(c.noMemory(true, 0))
 	c.SetReadDeadline(pastDeadline)
 	return true
 }
--- a/internal/downstream/conn_table.go
+++ b/internal/downstream/conn_table.go
@@ -8,23 +8,26 @@
 )
 
 // connTable holds the open connections, which are limited because connections to endpoints and to discovery need file
-// descriptors too. No method may be called with a lock of a connection held, except remove and removeHeld.
+// descriptors too. No method may be called with a lock of a connection held, except remove.
 type connTable struct {
 	limit int
 
-	mu    sync.Mutex
-	open  map[*conn]struct{}
-	held  []*conn         // those that wait with the response to a message that is no request, the longest first
-	waits []chan struct{} // to close when no connection is open
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// leaving holds those of the open connections that have given up their slots, and what to call once they are closed.
+	leaving map[*conn]func()
+	waits   []chan struct{} // to close when no connection is open
 }
 
-func newConnTable(limit int) *connTable { return &connTable{limit: limit, open: map[*conn]struct{}{}} }
+func newConnTable(limit int) *connTable {
+	return &connTable{limit: limit, open: map[*conn]struct{}{}, leaving: map[*conn]func(){}}
+}
 
 // add adds a connection and reports whether there was a slot for it.
 func (t *connTable) add(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.open) >= t.limit {
+	if len(t.open)-len(t.leaving) >= t.limit {
 		return false
 	}
 	t.open[c] = struct{}{}
@@ -36,6 +39,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, c)
+	if closed := t.leaving[c]; closed != nil {
+		delete(t.leaving, c)
+		closed()
+	}
 	if len(t.open) > 0 {
 		return
 	}
@@ -45,6 +52,18 @@
 	t.waits = nil
 }
 
+// giveUpSlot frees the slot of a connection that is soon closed, or is closed already. It calls closed then, with the table
+// locked.
+func (t *connTable) giveUpSlot(c *conn, closed func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, isOpen := t.open[c]; !isOpen {
+		closed()
+		return
+	}
+	t.leaving[c] = closed
+}
+
 // empty returns a channel that is closed once no connection is open.
 func (t *connTable) empty() <-chan struct{} {
 	t.mu.Lock()
@@ -117,35 +136,3 @@
 	})
 	return conns
 }
-
-// addHeld takes note that a connection waits with its response.
-func (t *connTable) addHeld(c *conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.held = append(t.held, c)
-}
-
-// removeHeld takes note that a connection waits no longer.
-func (t *connTable) removeHeld(c *conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if i := slices.Index(t.held, c); i >= 0 {
-		t.held = slices.Delete(t.held, i, i+1)
-	}
-}
-
-// cutHeld closes the connection that has waited with its response for the longest time. It reports whether there was
-// one.
-func (t *connTable) cutHeld() bool {
-	t.mu.Lock()
-	if len(t.held) == 0 {
-		t.mu.Unlock()
-		return false
-	}
-	c := t.held[0]
-	t.held = t.held[1:]
-	t.mu.Unlock()
-	close(c.cut)
-	c.close()
-	return true
-}
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"pebblelift/internal/budget"
-	"pebblelift/internal/config"
 	"pebblelift/internal/sidecar"
 	"pebblelift/internal/sockopt"
 	"pebblelift/internal/transient"
@@ -28,7 +27,6 @@
 // acceptAll accepts connections until the listener is closed. Whatever else makes accept fail passes by itself, so it is
 // waited out.
 func (s *Server) acceptAll(ln net.Listener) {
-	rejectionSlots := make(chan struct{}, config.MaxConcurrentRejections)
 	for backoff := (transient.Backoff{}); ; {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -44,7 +42,7 @@
 		if s.dropIfLeft(c) {
 			continue
 		}
-		s.admit(c, rejectionSlots)
+		s.admit(c)
 		if s.accepts.TakeWithin(time.Now(), time.Nanosecond) > 0 {
 			runtime.Gosched() // while connections flood in, those that are open get their turn
 		}
@@ -65,12 +63,12 @@
 }
 
 // admit serves a connection, or rejects it if there is no slot or no memory for it.
-func (s *Server) admit(nc net.Conn, rejectionSlots chan struct{}) {
+func (s *Server) admit(nc net.Conn) {
 	c := newConn(s, nc)
 	if !s.reserveConnection(c) {
 		s.stats.rejectedConnections.Add(1)
 		c.cancel()
-		rejectInBackground(nc, rejectionSlots)
+		rejectInBackground(nc, s.rejections)
 		return
 	}
 	s.stats.accepted.Add(1)
@@ -79,15 +77,16 @@
 }
 
 // reserveConnection reserves a slot and the memory of a connection. Connections that wait with the response to a message
-// that is no request give up their slots, and unfinished messages their memory. It reports whether all is reserved.
+// that is not served are answered and give up their slots, and stalled messages their memory. It reports whether all is
+// reserved.
 func (s *Server) reserveConnection(c *conn) bool {
 	for !s.memory.TryReserve(budget.Connections, connectionCost) {
-		if !s.table.cutHeld() && !s.table.evictStalled() {
+		if !s.cutHeld() && !s.table.evictStalled() {
 			return false
 		}
 	}
 	for !s.table.add(c) {
-		if !s.table.cutHeld() {
+		if !s.cutHeld() && !s.hastenHeld() {
 			s.memory.Release(budget.Connections, connectionCost)
 			return false
 		}
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"testing"
 
-	"pebblelift/internal/config"
 	"pebblelift/internal/nettest"
 )
 
@@ -45,9 +44,8 @@
 	defer inner.Close()
 	server := NewServer(newHarnessWithEndpoints(t, nettest.ClosedAddress(t)).loop, slog.New(slog.DiscardHandler))
 	server.table = newConnTable(0)
-	slots := make(chan struct{}, config.MaxConcurrentRejections)
-	for range cap(slots) { // simulates clients that are slow to close their connections
-		slots <- struct{}{}
+	for range cap(server.rejections) { // simulates clients that are slow to close their connections
+		server.rejections <- struct{}{}
 	}
 	go func() {
 		for {
@@ -55,7 +53,7 @@
 			if err != nil {
 				return
 			}
-			server.admit(c, slots)
+			server.admit(c)
 		}
 	}()
 	h := &harness{t: t, addr: inner.Addr().String()}
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -195,16 +195,21 @@
 }
 
 // rejectMessage answers a message that is no request, or does not arrive whole, and ends the connection. While there
-// are many such messages, the answer waits, since the clients often connect anew at once.
+// are many such messages, the answer may wait, since the clients often connect anew at once.
 func (c *conn) rejectMessage(w *work) {
 	c.mu.Lock()
 	c.dropBuffer()
 	c.mu.Unlock()
 	c.server.stats.countRejection(w.err)
-	c.server.hold(c)
-	r := errorResponse(w.err.Status, w.err)
-	r.close = true
-	c.respond(w, r)
+	h := newHeldResponse(c, w)
+	if !c.server.hold(h) {
+		return
+	}
+	if h.isHastened() && h.unread > 0 {
+		c.respondAndClose(w, h.response, h.unread)
+		return
+	}
+	c.respond(w, h.response)
 }
 
 // pause lets the connection rest. It ends early when the client disconnects.
@@ -228,13 +233,35 @@
 	mode := drainMode(c.server.drainMode.Load())
 	drains := mode == drainUnfinished || mode != drainNone && c.parser.empty()
 	r.close = r.close || drains || w.head != nil && w.head.wantsClose()
-	r.omitBody = w.head != nil && w.head.method == http.MethodHead
 	c.reused = true
 	c.inFlight = false // from now on, what the client sends waits unread
 	c.ending = r.close
 	c.mu.Unlock()
+	if err := c.writeResponse(w, r, c.server.timeouts.write); err != nil {
+		c.close()
+		return
+	}
+	if r.close {
+		c.linger()
+		c.close()
+	}
+}
+
+// respondAndClose writes the response to a message of which the given number of bytes were not read, reads them and closes
+// the connection.
+func (c *conn) respondAndClose(w *work, r response, unread int64) {
+	if c.writeResponse(w, r, c.server.timeouts.write) == nil {
+		c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		io.CopyN(io.Discard, onlyReader{c.Conn}, unread)
+	}
+	c.close()
+}
+
+// writeResponse writes the response to a message within the given time, and counts it.
+func (c *conn) writeResponse(w *work, r response, timeout time.Duration) error {
+	r.omitBody = w.head != nil && w.head.method == http.MethodHead
 	started := time.Now()
-	c.SetWriteDeadline(started.Add(c.server.timeouts.write))
+	c.SetWriteDeadline(started.Add(timeout))
 	size := len(r.body)
 	err := r.write(c)
 	c.addUse(func(use *sidecar.ClientUse) {
@@ -245,14 +272,15 @@
 		use.SentBytes += int64(size)
 		use.Work += min(time.Since(started), maxCountedWork)
 	})
-	if err != nil {
-		c.close()
-		return
-	}
-	if r.close {
-		c.linger()
-		c.close()
-	}
+	return err
+}
+
+// awaitMore waits until the client sends something or the given moment has come. It returns how many bytes were read. Only
+// the reader may call it, and only once nothing that arrives is processed any more.
+func (c *conn) awaitMore(end time.Time) (received int) {
+	c.SetReadDeadline(end)
+	received, _ = c.Read(c.readAhead[:])
+	return received
 }
 
 // linger ends the sending direction and waits until the client has read the response and closed the connection.
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"pebblelift/balance"
 	"pebblelift/internal/headers"
@@ -54,6 +55,15 @@
 	errFailed       = errors.New("failed")
 )
 
+// noMemoryError means that there is no memory for a message that has not arrived whole.
+type noMemoryError struct {
+	stalled  bool      // the client had stopped in the middle of it
+	answerBy time.Time // until when a client has to be answered that waits; the zero time if that is not known
+	unread   int64     // bytes of the message that were not read; 0 if that is not known
+}
+
+func (e *noMemoryError) Error() string { return errNoMemory.Error() }
+
 // healthPath is the path at which the platform asks whether the sidecar is healthy.
 const healthPath = "/_health"
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -12,6 +12,7 @@
 
 	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
+	"pebblelift/internal/config"
 	"pebblelift/internal/sidecar"
 )
 
@@ -45,7 +46,6 @@
 	// often connect anew as soon as they are answered.
 	unsoundInterval = 5 * time.Millisecond
 	unsoundBurst    = 100
-	maxHold         = 500 * time.Millisecond
 	// reclaimInterval is the time between two searches for clients that give way to those who wait for memory.
 	reclaimInterval = 10 * time.Millisecond
 	// maxMemoryWait is how long a message waits for memory before it is refused.
@@ -95,6 +95,8 @@
 	refusals        budget.TokenBucket // limits refusals on connections that have only such
 	starts          *budget.Slots      // requests that are being started
 	table           *connTable
+	held            heldResponses
+	rejections      chan struct{} // has a value for each connection without a slot that is being rejected
 	stats           serverStats
 	uses            clientUses
 	reclaiming      atomic.Bool                          // reclaim runs
@@ -106,18 +108,19 @@
 func NewServer(loop *sidecar.Loop, log *slog.Logger) *Server {
 	limits := loop.Config().Limits
 	s := &Server{
-		loop:     loop,
-		log:      log,
-		classes:  map[string]int{},
-		tenants:  map[string]int{},
-		timeouts: defaultTimeouts,
-		memory:   loop.Memory(),
-		unsound:  budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
-		accepts:  budget.TokenBucket{Interval: acceptInterval, Burst: acceptBurst},
-		refusals: budget.TokenBucket{Interval: sharedRefusalInterval, Burst: sharedRefusalBurst},
-		starts:   budget.NewSlots(startsPerProcessor * limits.Processors()),
-		table:    newConnTable(limits.DownstreamConnections()),
-		after:    time.After,
+		loop:       loop,
+		log:        log,
+		classes:    map[string]int{},
+		tenants:    map[string]int{},
+		timeouts:   defaultTimeouts,
+		memory:     loop.Memory(),
+		unsound:    budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
+		accepts:    budget.TokenBucket{Interval: acceptInterval, Burst: acceptBurst},
+		refusals:   budget.TokenBucket{Interval: sharedRefusalInterval, Burst: sharedRefusalBurst},
+		starts:     budget.NewSlots(startsPerProcessor * limits.Processors()),
+		table:      newConnTable(limits.DownstreamConnections()),
+		rejections: make(chan struct{}, config.MaxConcurrentRejections),
+		after:      time.After,
 	}
 	settings := &loop.Config().Settings
 	for i, name := range settings.Classes {
@@ -227,24 +230,6 @@
 	}
 }
 
-// hold lets a connection wait with the response to a message that is no request while there are many such messages. A
-// new connection that needs its slot ends the wait.
-func (s *Server) hold(c *conn) {
-	wait := s.unsound.TakeWithin(time.Now(), maxHold)
-	if wait <= 0 {
-		return
-	}
-	s.stats.pauses.Add(1)
-	s.table.addHeld(c)
-	defer s.table.removeHeld(c)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.cut:
-	}
-}
-
 // release removes a closed connection from the table.
 func (s *Server) release(c *conn) {
 	s.table.remove(c)
--- a/internal/downstream/stats.go
+++ b/internal/downstream/stats.go
@@ -15,6 +15,7 @@
 	healthChecks, refused                atomic.Int64
 	invalid, tooLarge, tooSlow, noMemory atomic.Int64 // rejected messages by reason
 	evicted                              atomic.Int64 // unfinished messages rejected because others needed their memory
+	cut                                  atomic.Int64 // rejected messages whose connections ended early, as their slots were needed
 	memoryWaits                          atomic.Int64 // messages that waited for memory
 	left                                 atomic.Int64 // connections whose clients left before they were accepted
 	farAhead                             atomic.Int64 // rests of the reader because a client had sent far ahead
@@ -58,6 +59,7 @@
 		SlowMessages:     stats.tooSlow.Load(),
 		UnstoredMessages: stats.noMemory.Load(),
 		Evicted:          stats.evicted.Load(),
+		Cut:              stats.cut.Load(),
 		Pauses:           stats.pauses.Load(),
 		MemoryWaits:      stats.memoryWaits.Load(),
 		FarAhead:         stats.farAhead.Load(),
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -57,6 +57,7 @@
 	SlowMessages     int64         // messages rejected because they did not arrive in time
 	UnstoredMessages int64         // messages rejected because there was no memory for them, or at the end of a shutdown
 	Evicted          int64         // messages among these that gave up their memory to others
+	Cut              int64         // rejected messages whose connections ended early, as their slots were needed
 	Pauses           int64         // waits of clients that sent too fast
 	MemoryWaits      int64         // messages that waited for memory
 	FarAhead         int64         // rests of the reader because a client had sent far ahead of its responses
@@ -195,6 +196,7 @@
 		"too_slow", stats.SlowMessages,
 		"not_stored", stats.UnstoredMessages,
 		"evicted", stats.Evicted,
+		"cut", stats.Cut,
 		"parse_ms", stats.ParseTime.Milliseconds())
 	busiest := &stats.Busiest
 	d.log.Info("status.busiest_client",
