Reuse a connection to an endpoint only if nothing has arrived on it

Cause: Pool.takeIdle compared times only. During a stop the quiet period of 20 ms passes although nobody reads, and the second response lies unread; nextReadStep took it for the response of the round trip that had taken the connection since.

Evidence: TestConnectionWithUnreadResponseIsNotReused forces the order, take the connection, then let its reader run. Ruled out: a shorter quiet period than the delay of the second response, which is 5 ms at most in the case.

Change: connReader reads with a lock that a taker holds too while it asks whether anything has come, and popIdle closes a connection on which something has, or which the endpoint has closed. The status counts them (connections.unusable).

Why it works: when the question is answered, a byte is either in the system, where a read of the taker finds it, or noted by the reader. A second response that comes within the quiet period is there by then.

TestAcquireAtIdleTimeout builds its connection with newConn now, and checks the same.

--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -161,7 +161,8 @@
 		"listed", len(d.endpoints),
 		"ejected", lb.Ejected,
 		"warming_up", lb.WarmingUp,
-		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses))
+		slog.Group("connections", "open", poolStats.Open, "dials", poolStats.Dials, "reuses", poolStats.Reuses,
+			"unusable", poolStats.Unusable))
 	d.log.Info("status.sources",
 		slog.Group("discovery",
 			"calls", stats.DiscoveryCalls,
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -18,47 +18,72 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
-	defer cancel()
-	nc, err := transient.Dial(ctx, p.dialer.DialContext, "tcp", addr)
+	c, err := p.dial(ctx, e, addr, rt)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := newConn(nc, e, addr, rt)
 	go p.readLoop(c)
 	return c, nil
 }
 
-// takeIdle takes the most recently used idle connection, because the endpoint is least likely to close that one.
-// Connections in their quiet period are skipped. It returns nil if no connection can be reused.
+// dial opens a connection for a round trip.
+func (p *Pool) dial(ctx context.Context, e *Endpoint, addr string, rt *roundTrip) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
+	defer cancel()
+	nc, err := transient.Dial(ctx, p.dialer.DialContext, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := newConn(nc, e, addr, rt)
+	if err != nil {
+		nc.Close()
+	}
+	return c, err
+}
+
+// takeIdle takes an idle connection for a round trip. It returns nil if no connection can be reused.
 func (p *Pool) takeIdle(e *Endpoint, rt *roundTrip) *conn {
+	now := time.Now()
 	p.mu.Lock()
-	now, n := time.Now(), len(e.idle)
-	for n > 0 && now.Sub(e.idle[n-1].idleSince) < p.quietPeriod {
-		n--
+	c, expired := p.popIdle(e, now)
+	if c != nil {
+		c.roundTrip = rt
+		rt.connectionIdle = now.Sub(c.idleSince)
+		c.SetReadDeadline(time.Time{})
+		p.reuses++
 	}
-	if n == 0 {
-		p.mu.Unlock()
-		return nil
-	}
-	if now.Sub(e.idle[n-1].idleSince) > e.keepAlive.idleLimit(p.idleTimeout) {
-		p.mu.Unlock()
-		p.CloseIdle(e) // the connections before this one have been idle for longer
-		return nil
+	p.mu.Unlock()
+	if expired {
+		p.CloseIdle(e)
 	}
-	defer p.mu.Unlock()
-	c := e.idle[n-1]
-	e.idle = slices.Delete(e.idle, n-1, n)
-	c.roundTrip = rt
-	rt.connectionIdle = now.Sub(c.idleSince)
-	c.SetReadDeadline(time.Time{})
-	p.reuses++
 	return c
 }
 
+// popIdle removes the most recently used idle connection from the list, because the endpoint is least likely to close
+// that one. Connections in their quiet period are skipped, and those on which anything has arrived are closed. It reports
+// expired if the remaining connections have been idle for too long. The caller holds Pool.mu.
+func (p *Pool) popIdle(e *Endpoint, now time.Time) (c *conn, expired bool) {
+	for i, c := range slices.Backward(e.idle) {
+		idle := now.Sub(c.idleSince)
+		if idle < p.quietPeriod {
+			continue
+		}
+		if idle > e.keepAlive.idleLimit(p.idleTimeout) {
+			return nil, true
+		}
+		e.idle = slices.Delete(e.idle, i, i+1)
+		if c.source.isQuiet() {
+			return c, false
+		}
+		p.unusable++
+		c.Close() // its reader goroutine, which may not have run since, then ends and removes it from the count
+	}
+	return nil, false
+}
+
 // reserveSlot counts a connection that is about to be opened and returns the endpoint's address. At the connection
 // limit it closes the connection that has been idle the longest, or returns ErrPoolExhausted if no connection is
 // idle.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,7 @@
 	addr      string // the address that was dialed; the endpoint's address may change later
 	reader    *bufio.Reader
 	limited   *limitedReader // the source of reader, which bounds the size of a response
+	source    *connReader    // the source of limited
 	idleSince time.Time      // the end of the last round trip; zero before the first one
 
 	// The following fields are guarded by Pool.mu.
@@ -37,13 +38,18 @@
 	counted   bool       // whether Pool.open includes this connection
 }
 
-func newConn(nc net.Conn, e *Endpoint, addr string, rt *roundTrip) *conn {
-	limited := &limitedReader{source: nc}
+// newConn returns a connection that has been established for a round trip.
+func newConn(nc net.Conn, e *Endpoint, addr string, rt *roundTrip) (*conn, error) {
+	source, err := newConnReader(nc)
+	if err != nil {
+		return nil, err
+	}
+	limited := &limitedReader{source: source}
 	return &conn{
 		Conn: nc, endpoint: e, addr: addr,
-		reader: bufio.NewReaderSize(limited, readBufferSize), limited: limited,
+		reader: bufio.NewReaderSize(limited, readBufferSize), limited: limited, source: source,
 		roundTrip: rt, counted: true,
-	}
+	}, nil
 }
 
 // roundTrip is one request and its response on a connection.
@@ -107,6 +113,7 @@
 		}
 		r, reusable := p.receiveResponse(c, rt)
 		if reusable && c.reader.Buffered() == 0 {
+			c.source.expectNothing()
 			p.release(c, rt)
 			rt.deliver(r)
 			continue
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -42,15 +41,11 @@
 	rt := newRoundTrip(t.Context(), "GET")
 	rt.writeStarted.Store(true)
 	close(rt.writeEnded)
-	limited := &limitedReader{source: &deadlineOnFirstRead{Conn: nc}}
-	c := &conn{
-		Conn:      nc,
-		endpoint:  &Endpoint{addr: stub.Addr},
-		addr:      stub.Addr,
-		reader:    bufio.NewReader(limited),
-		limited:   limited,
-		roundTrip: rt,
+	c, err := newConn(nc, &Endpoint{addr: stub.Addr}, stub.Addr, rt)
+	if err != nil {
+		t.Fatal(err)
 	}
+	c.limited.source = &deadlineOnFirstRead{Conn: nc}
 	io.WriteString(nc, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	go pool.readLoop(c)
 	if r := nettest.Receive(t, rt.result); r.Result != balance.OK {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -23,6 +23,8 @@
 	ErrEarlyResponse = errors.New("response received before the request was completely sent")
 	// ErrPoolExhausted means that the connection limit is reached and no connection is idle.
 	ErrPoolExhausted = errors.New("all connections to endpoints are in use")
+
+	errNoDescriptor = errors.New("connection without a descriptor")
 )
 
 // StatusError reports a response with a status other than 200. Status is the status code and reason phrase, such as
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,7 @@
 	idleEndpoints map[*Endpoint]struct{} // endpoints that have idle connections
 	dials         int                    // see Stats.Dials
 	reuses        int                    // see Stats.Reuses
+	unusable      int                    // see Stats.Unusable
 }
 
 // NewPool returns a pool without any connections. It replaces zero timeouts in o by defaults.
@@ -78,13 +79,17 @@
 	Open   int // connections that are open now, including those that are being established
 	Dials  int // attempts since the start for which no idle connection could be reused
 	Reuses int // attempts since the start that reused an idle connection
+
+	// Unusable counts the idle connections since the start that an attempt could not reuse, as they had been closed by the
+	// endpoint or something had arrived on them that belongs to no request.
+	Unusable int
 }
 
 // Stats returns the current counts.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Dials: p.dials, Reuses: p.reuses}
+	return Stats{Open: p.open, Dials: p.dials, Reuses: p.reuses, Unusable: p.unusable}
 }
 
 // UpdateEndpoint sets whether an endpoint takes requests and, unless addr is empty, the address (host:port) at which
