Refuse a request that waits for memory within its client's time

Cause: conn.grow waited up to 0.5 s whatever the client's time, and the refusal up to 0.5 s more; conn.begin limited each of its two waits to half of the time, not both together. Bytes that lay unread during the wait counted as arrived when they were read, so a request served after all got its full time again, and the endpoint was told more than the client had left.

Change: a message whose head is known waits for half of its client's time in all; a request waits for its turn only while its client does; bytes that follow a wait without a pause of 10 ms count as arrived when the wait began.

Why it works: no wait outlasts the client's time any more once that is known, and the time that a request lies unread counts.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -68,6 +68,7 @@
 	part       budget.Part // the part of the budget that reserved belongs to
 	pending    *work       // the message whose body is arriving; nil while a head arrives
 	arrivals   arrivals    // when the bytes in the parser have arrived
+	memoryWait memoryWait  // of the message that arrives
 	processing bool        // a goroutine processes messages
 	inFlight   bool        // the event loop serves a request
 	gone       bool        // the client has disconnected, or the connection is closed
@@ -96,11 +97,12 @@
 		if !ok {
 			return
 		}
-		c.readingSince.Store(time.Now().UnixNano())
+		waitStarted := time.Now()
+		c.readingSince.Store(waitStarted.UnixNano())
 		n, err := c.Read(space)
 		c.readingSince.Store(0)
 		started := time.Now()
-		c.afterRead(space[:n], err)
+		c.afterRead(space[:n], err, started.Sub(waitStarted))
 		c.addUse(func(use *sidecar.ClientUse) {
 			use.ReceivedBytes += int64(n)
 			use.Work += min(time.Since(started), maxCountedWork)
@@ -152,12 +154,12 @@
 	return c.readAhead[:], true
 }
 
-// afterRead takes note of what was read, and processes the messages that are complete.
-func (c *conn) afterRead(p []byte, err error) {
+// afterRead takes note of what was read after the given wait, and processes the messages that are complete.
+func (c *conn) afterRead(p []byte, err error, readWait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(p) > 0 {
-		c.receive(p)
+		c.receive(p, c.memoryWait.arrival(time.Now(), readWait))
 	}
 	now := time.Now()
 	switch {
@@ -171,8 +173,9 @@
 	}
 }
 
-// receive passes what was read to the parser. The caller holds mu, which receive releases while it makes room.
-func (c *conn) receive(p []byte) {
+// receive passes what has arrived at the given time to the parser. The caller holds mu, which receive releases while it
+// makes room.
+func (c *conn) receive(p []byte, arrivedAt time.Time) {
 	if c.parser.empty() {
 		c.headAt = time.Now()
 		if !c.reused {
@@ -190,7 +193,7 @@
 	if !c.processing {
 		c.arrivals.marks = nil // what arrives now completes the present message, if anything does
 	}
-	c.arrivals.add(len(p), time.Now())
+	c.arrivals.add(len(p), arrivedAt)
 	if c.inFlight && len(c.parser.buffer) > maxReadAhead {
 		c.disconnect()
 	}
--- a/internal/downstream/conn_buffer.go
+++ b/internal/downstream/conn_buffer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pebblelift/internal/budget"
-	"pebblelift/internal/clock"
 	"pebblelift/internal/sockopt"
 )
 
@@ -63,19 +62,23 @@
 	if size > smallMessage {
 		part = budget.LargeUnfinished
 	}
-	held := c.reserved.Load()
+	held, longest := c.reserved.Load(), c.longestMemoryWait()
 	more := size
 	if part == c.part {
 		more -= held
 	}
 	c.mu.Unlock()
 	var reserved bool
+	began := time.Now()
 	if mayWait {
-		reserved = c.server.awaitMemory(c, part, more, maxMemoryWait) == nil
+		reserved = c.server.awaitMemory(c, part, more, longest) == nil
 	} else {
 		reserved = c.server.reserve(part, more)
 	}
 	c.mu.Lock()
+	if mayWait {
+		c.memoryWait.add(began)
+	}
 	if !reserved {
 		return false
 	}
@@ -109,7 +112,7 @@
 func (c *conn) noMemory(stalled bool, notStored int) error {
 	err := &noMemoryError{stalled: stalled}
 	if c.pending != nil {
-		err.answerBy = c.bodyAt.Add(clock.Duration(c.pending.request.Timeout / requestWaitDivisor))
+		err.answerBy = c.pending.headAt.Add(halfTimeout(&c.pending.request))
 		err.unread = max(0, int64(c.pending.head.contentLength-len(c.parser.buffer)-notStored))
 	}
 	return err
@@ -146,7 +149,7 @@
 // dropBuffer releases what has arrived and was not processed. The caller holds mu.
 func (c *conn) dropBuffer() {
 	c.parser.drop()
-	c.pending, c.arrivals = nil, arrivals{}
+	c.pending, c.arrivals, c.memoryWait = nil, arrivals{}, memoryWait{}
 	c.unfinishedSince.Store(0)
 	c.server.memory.Release(c.part, c.reserved.Swap(0))
 	c.part = budget.Unfinished
--- a/internal/downstream/held_response_test.go
+++ b/internal/downstream/held_response_test.go
@@ -57,7 +57,7 @@
 	c, reader := h.connect()
 	io.WriteString(c, idempotentRequest("first"))
 	h.readResponse(reader)
-	h.server.memory.Take(budget.LargeUnfinished, 90<<10)
+	defer h.fillLargeMessages()()
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/internal/downstream/process.go
+++ b/internal/downstream/process.go
@@ -33,6 +33,7 @@
 // work is one message of a client that is to be answered.
 type work struct {
 	head    *requestHead
+	headAt  time.Time // when the head was complete
 	kind    workKind
 	request sidecar.Request     // if kind is forwardRequest
 	memory  *budget.Reservation // holds the memory of the request's body
@@ -132,7 +133,7 @@
 	if head == nil {
 		return nil
 	}
-	w := &work{head: head}
+	w := &work{head: head, headAt: now}
 	if isHealthCheck(head) {
 		w.kind = checkHealth
 		return w
@@ -160,7 +161,7 @@
 	if !complete {
 		return nil
 	}
-	c.pending = nil
+	c.pending, c.memoryWait = nil, memoryWait{}
 	c.unfinishedSince.Store(0)
 	w.request.Forwarded.Body = body
 	w.request.ArrivedAt = c.server.loop.Clock().At(c.arrivals.take(len(c.parser.buffer)))
--- a/internal/downstream/serve_request.go
+++ b/internal/downstream/serve_request.go
@@ -9,7 +9,6 @@
 
 	"pebblelift/balance"
 	"pebblelift/internal/budget"
-	"pebblelift/internal/clock"
 	"pebblelift/internal/sidecar"
 )
 
@@ -17,8 +16,6 @@
 	// freeRefusals is how many requests in a row may be refused before the connection shares the rate of refusals with
 	// others.
 	freeRefusals = 4
-	// requestWaitDivisor limits how long a request waits for memory or its turn to half of the client's timeout.
-	requestWaitDivisor = 2
 )
 
 // serveRequest hands a request to the event loop and writes its response. It refuses the request if others take all
@@ -59,14 +56,13 @@
 // begin waits for the memory of a request and for its turn to be started, in which clients whose last request was served
 // go first. It reports whether the request may start now.
 func (c *conn) begin(w *work) bool {
-	longest := min(maxMemoryWait, clock.Duration(w.request.Timeout/requestWaitDivisor))
-	if c.server.awaitMemory(c, budget.Requests, requestCost, longest) != nil {
+	if c.server.awaitMemory(c, budget.Requests, requestCost, c.server.longestStartWait(&w.request)) != nil {
 		return false
 	}
 	if c.server.starts.TryAcquire() {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, longest)
+	ctx, cancel := context.WithTimeout(c.ctx, c.server.longestStartWait(&w.request))
 	defer cancel()
 	if c.server.starts.Acquire(ctx, c.proven.Load()) != nil {
 		c.server.memory.Release(budget.Requests, requestCost)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -48,8 +48,6 @@
 	unsoundBurst    = 100
 	// reclaimInterval is the time between two searches for clients that give way to those who wait for memory.
 	reclaimInterval = 10 * time.Millisecond
-	// maxMemoryWait is how long a message waits for memory before it is refused.
-	maxMemoryWait = 500 * time.Millisecond
 )
 
 // timeouts bound the waits for a client.
