Let one connection at a time make others give way for memory

Cause: two connections that found no room each looked for the largest one at the same time, and disconnected each other.

Change: Server.reserve makes others give way under a lock, and not for a connection that has ended meanwhile.

--- a/internal/downstream/conn_buffer.go
+++ b/internal/downstream/conn_buffer.go
@@ -73,7 +73,7 @@
 	if mayWait {
 		reserved = c.server.awaitMemory(c, part, more, longest) == nil
 	} else {
-		reserved = c.server.reserve(part, more)
+		reserved = c.server.reserve(c, part, more)
 	}
 	c.mu.Lock()
 	if mayWait {
--- a/internal/downstream/read_ahead_test.go
+++ b/internal/downstream/read_ahead_test.go
@@ -186,3 +186,29 @@
 		t.Errorf("request whose start was read ahead: status %d, body %q, want 200 and hi", resp.StatusCode, body)
 	}
 }
+
+// Guards against clients that make each other give way for the same memory, so that more of them are disconnected than it
+// takes: one that was disconnected itself while it waited for its turn needs no memory any more.
+func TestDisconnectedClientMakesNobodyGiveWay(t *testing.T) {
+	const capacity = 240 << 10
+	stub := newHoldingStub(t, "")
+	h := newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
+		s.memory = budget.NewMemory(capacity)
+	})
+	defer close(stub.release)
+	greedy, _ := h.connect()
+	io.WriteString(greedy, idempotentRequest("greedy"))
+	nettest.Receive(t, stub.received)
+	io.WriteString(greedy, strings.Repeat("x", fairReadAhead+1))
+	nettest.Eventually(t, "the greedy client has sent much ahead", func() bool {
+		return h.server.memory.Usage().Used[budget.LargeUnfinished] > fairReadAhead
+	})
+	gone := newConn(h.server, greedy)
+	gone.cancel()
+	if h.server.reserve(gone, budget.LargeUnfinished, capacity) {
+		t.Error("memory reserved for a client that has gone")
+	}
+	if h.server.table.size() != 1 {
+		t.Error("a client was disconnected for one that has gone")
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +98,7 @@
 	rejections      chan struct{} // has a value for each connection without a slot that is being rejected
 	stats           serverStats
 	uses            clientUses
+	evicting        sync.Mutex                           // held while a connection makes others give way
 	reclaiming      atomic.Bool                          // reclaim runs
 	drainMode       atomic.Int32                         // the current drainMode
 	after           func(time.Duration) <-chan time.Time // time.After; replaced by tests
@@ -185,22 +187,31 @@
 // healthy reports whether requests can be served and the server does not drain.
 func (s *Server) healthy() bool { return s.loop.Ready() && !s.draining() }
 
-// reserve reserves memory. If there is no room, clients that send nothing more of their messages give way, and then
-// those that have sent the most ahead of a response. It reports whether the memory is reserved.
-func (s *Server) reserve(part budget.Part, bytes int64) bool {
-	for !s.memory.TryReserve(part, bytes) {
+// reserve reserves memory for a connection. If there is no room, clients that send nothing more of their messages give way,
+// and then those that have sent the most ahead of a response. One connection at a time makes others give way, so that two
+// do not do so to each other where one would be enough. It reports whether the memory is reserved.
+func (s *Server) reserve(c *conn, part budget.Part, bytes int64) bool {
+	if s.memory.TryReserve(part, bytes) {
+		return true
+	}
+	s.evicting.Lock()
+	defer s.evicting.Unlock()
+	for c.ctx.Err() == nil {
+		if s.memory.TryReserve(part, bytes) {
+			return true
+		}
 		if !s.table.evictStalled() && !s.table.evictReadAhead() {
 			return false
 		}
 		s.stats.evicted.Add(1)
 	}
-	return true
+	return false
 }
 
 // awaitMemory reserves memory for a connection, and waits for it while only sound messages hold it. A connection on which a
 // request was served before goes first. It returns an error if there is none within the given time or the connection ends.
 func (s *Server) awaitMemory(c *conn, part budget.Part, bytes int64, longest time.Duration) error {
-	if s.memory.Waiting(part) == 0 && s.reserve(part, bytes) {
+	if s.memory.Waiting(part) == 0 && s.reserve(c, part, bytes) {
 		return nil
 	}
 	s.stats.memoryWaits.Add(1)
