--- a/internal/downstream/held_response.go
+++ b/internal/downstream/held_response.go
@@ -12,6 +12,11 @@
 )
 
 const (
+	// rejectionInterval and rejectionBurst limit the responses to messages that are not served, on all connections
+	// together: so many at once, then one in each interval. Further ones wait for up to maxHold, because their clients
+	// often connect anew as soon as they are answered.
+	rejectionInterval = 5 * time.Millisecond
+	rejectionBurst    = 100
 	// maxHold is how long the response to a message that is not served waits at most.
 	maxHold = 500 * time.Millisecond
 	// cutWriteTimeout limits the write of a response whose connection gives up its slot. The accept loop waits for it; the
@@ -169,7 +174,7 @@
 	if h.longest <= 0 {
 		return true
 	}
-	wait := s.unsound.TakeWithin(time.Now(), h.longest)
+	wait := s.rejectionRate.TakeWithin(time.Now(), h.longest)
 	if wait <= 0 {
 		return true
 	}
--- a/internal/downstream/held_response_test.go
+++ b/internal/downstream/held_response_test.go
@@ -21,7 +21,7 @@
 	stub := nettest.NewStubServer(t, nettest.RespondWith(nettest.OKResponse))
 	return newHarness(t, nettest.ClosedAddress(t), nettest.CachedCatalogJSON(stub.Addr), func(s *Server) {
 		s.table = newConnTable(connections)
-		s.unsound = budget.TokenBucket{Interval: time.Hour}
+		s.rejectionRate = budget.TokenBucket{Interval: time.Hour}
 		s.memory = budget.NewMemory(240 << 10) // of which 96 KiB are for large messages that have not arrived whole
 	})
 }
--- a/internal/downstream/memory_wait.go
+++ b/internal/downstream/memory_wait.go
@@ -1,8 +1,10 @@
 package downstream
 
 import (
+	"context"
 	"time"
 
+	"pebblelift/internal/budget"
 	"pebblelift/internal/clock"
 	"pebblelift/internal/sidecar"
 )
@@ -14,6 +16,8 @@
 	requestWaitDivisor = 2
 	// minMemoryWait is the shortest wait for memory that counts.
 	minMemoryWait = time.Millisecond
+	// reclaimInterval is the time between two searches for clients that give way to those who wait for memory.
+	reclaimInterval = 10 * time.Millisecond
 )
 
 // memoryWait is how long the message that arrives has waited for memory. Its client is not read meanwhile, so that the time
@@ -65,3 +69,55 @@
 func halfTimeout(r *sidecar.Request) time.Duration {
 	return clock.Duration(r.Timeout / requestWaitDivisor)
 }
+
+// reserve reserves memory for a connection. If there is no room, clients that send nothing more of their messages give way,
+// and then those that have sent the most ahead of a response. One connection at a time makes others give way, so that two
+// do not do so to each other where one would be enough. It reports whether the memory is reserved.
+func (s *Server) reserve(c *conn, part budget.Part, bytes int64) bool {
+	if s.memory.TryReserve(part, bytes) {
+		return true
+	}
+	s.evicting.Lock()
+	defer s.evicting.Unlock()
+	for c.ctx.Err() == nil {
+		if s.memory.TryReserve(part, bytes) {
+			return true
+		}
+		if !s.table.evictStalled() && !s.table.evictReadAhead() {
+			return false
+		}
+		s.stats.evicted.Add(1)
+	}
+	return false
+}
+
+// awaitMemory reserves memory for a connection, and waits for it while only sound messages hold it. A connection on which a
+// request was served before goes first. It returns an error if there is none within the given time or the connection ends.
+func (s *Server) awaitMemory(c *conn, part budget.Part, bytes int64, longest time.Duration) error {
+	if s.memory.Waiting(part) == 0 && s.reserve(c, part, bytes) {
+		return nil
+	}
+	s.stats.memoryWaits.Add(1)
+	ctx, cancel := context.WithTimeout(c.ctx, longest)
+	defer cancel()
+	reclaim := time.AfterFunc(reclaimInterval, s.reclaim)
+	defer reclaim.Stop()
+	if c.proven.Load() {
+		return s.memory.ReserveUrgently(ctx, part, bytes)
+	}
+	return s.memory.Reserve(ctx, part, bytes)
+}
+
+// reclaim lets clients that send nothing more of their messages give way to those who wait for memory, until nobody does.
+func (s *Server) reclaim() {
+	if !s.reclaiming.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.reclaiming.Store(false)
+	for s.memory.HasWaiters() {
+		for s.memory.HasWaiters() && s.table.evictStalled() {
+			s.stats.evicted.Add(1)
+		}
+		time.Sleep(reclaimInterval)
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -42,13 +42,6 @@
 	// sharedRefusalInterval and sharedRefusalBurst limit the refusals on all connections together that have only such.
 	sharedRefusalInterval = time.Millisecond
 	sharedRefusalBurst    = 100
-	// unsoundInterval and unsoundBurst limit the responses to messages that are no requests, on all connections
-	// together: so many at once, then one in each interval. Further ones wait for up to maxHold, because their clients
-	// often connect anew as soon as they are answered.
-	unsoundInterval = 5 * time.Millisecond
-	unsoundBurst    = 100
-	// reclaimInterval is the time between two searches for clients that give way to those who wait for memory.
-	reclaimInterval = 10 * time.Millisecond
 )
 
 // timeouts bound the waits for a client.
@@ -89,7 +82,7 @@
 	drainTimeout    time.Duration  // how long requests may still run after the listener is closed
 	timeouts        timeouts
 	memory          *budget.Memory
-	unsound         budget.TokenBucket // limits the responses to messages that are no requests
+	rejectionRate   budget.TokenBucket // limits the responses to messages that are not served
 	accepts         budget.TokenBucket // limits the connections that are accepted at once
 	refusals        budget.TokenBucket // limits refusals on connections that have only such
 	starts          *budget.Slots      // requests that are being started
@@ -108,19 +101,19 @@
 func NewServer(loop *sidecar.Loop, log *slog.Logger) *Server {
 	limits := loop.Config().Limits
 	s := &Server{
-		loop:       loop,
-		log:        log,
-		classes:    map[string]int{},
-		tenants:    map[string]int{},
-		timeouts:   defaultTimeouts,
-		memory:     loop.Memory(),
-		unsound:    budget.TokenBucket{Interval: unsoundInterval, Burst: unsoundBurst},
-		accepts:    budget.TokenBucket{Interval: acceptInterval, Burst: acceptBurst},
-		refusals:   budget.TokenBucket{Interval: sharedRefusalInterval, Burst: sharedRefusalBurst},
-		starts:     budget.NewSlots(startsPerProcessor * limits.Processors()),
-		table:      newConnTable(limits.DownstreamConnections()),
-		rejections: make(chan struct{}, config.MaxConcurrentRejections),
-		after:      time.After,
+		loop:          loop,
+		log:           log,
+		classes:       map[string]int{},
+		tenants:       map[string]int{},
+		timeouts:      defaultTimeouts,
+		memory:        loop.Memory(),
+		rejectionRate: budget.TokenBucket{Interval: rejectionInterval, Burst: rejectionBurst},
+		accepts:       budget.TokenBucket{Interval: acceptInterval, Burst: acceptBurst},
+		refusals:      budget.TokenBucket{Interval: sharedRefusalInterval, Burst: sharedRefusalBurst},
+		starts:        budget.NewSlots(startsPerProcessor * limits.Processors()),
+		table:         newConnTable(limits.DownstreamConnections()),
+		rejections:    make(chan struct{}, config.MaxConcurrentRejections),
+		after:         time.After,
 	}
 	settings := &loop.Config().Settings
 	for i, name := range settings.Classes {
@@ -187,58 +180,6 @@
 // healthy reports whether requests can be served and the server does not drain.
 func (s *Server) healthy() bool { return s.loop.Ready() && !s.draining() }
 
-// reserve reserves memory for a connection. If there is no room, clients that send nothing more of their messages give way,
-// and then those that have sent the most ahead of a response. One connection at a time makes others give way, so that two
-// do not do so to each other where one would be enough. It reports whether the memory is reserved.
-func (s *Server) reserve(c *conn, part budget.Part, bytes int64) bool {
-	if s.memory.TryReserve(part, bytes) {
-		return true
-	}
-	s.evicting.Lock()
-	defer s.evicting.Unlock()
-	for c.ctx.Err() == nil {
-		if s.memory.TryReserve(part, bytes) {
-			return true
-		}
-		if !s.table.evictStalled() && !s.table.evictReadAhead() {
-			return false
-		}
-		s.stats.evicted.Add(1)
-	}
-	return false
-}
-
-// awaitMemory reserves memory for a connection, and waits for it while only sound messages hold it. A connection on which a
-// request was served before goes first. It returns an error if there is none within the given time or the connection ends.
-func (s *Server) awaitMemory(c *conn, part budget.Part, bytes int64, longest time.Duration) error {
-	if s.memory.Waiting(part) == 0 && s.reserve(c, part, bytes) {
-		return nil
-	}
-	s.stats.memoryWaits.Add(1)
-	ctx, cancel := context.WithTimeout(c.ctx, longest)
-	defer cancel()
-	reclaim := time.AfterFunc(reclaimInterval, s.reclaim)
-	defer reclaim.Stop()
-	if c.proven.Load() {
-		return s.memory.ReserveUrgently(ctx, part, bytes)
-	}
-	return s.memory.Reserve(ctx, part, bytes)
-}
-
-// reclaim lets clients that send nothing more of their messages give way to those who wait for memory, until nobody does.
-func (s *Server) reclaim() {
-	if !s.reclaiming.CompareAndSwap(false, true) {
-		return
-	}
-	defer s.reclaiming.Store(false)
-	for s.memory.HasWaiters() {
-		for s.memory.HasWaiters() && s.table.evictStalled() {
-			s.stats.evicted.Add(1)
-		}
-		time.Sleep(reclaimInterval)
-	}
-}
-
 // release removes a closed connection from the table.
 func (s *Server) release(c *conn) {
 	s.table.remove(c)
